Serve a request and a gang job through separate processes

Cause: the repository was empty. Change: one executable with the entry process (request pipeline, claims, holder of a failure domain, gang scheduler, guarantee blocks, catalogue versions, peer links), stand-ins of the platform, the command line, two examples, and an end-to-end feature over ten separate processes.

--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/api/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP interface for callers and operators.
+ */
+package org.citronrelay.internal.api;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cli/CatalogueCommands.java
@@ -0,0 +1,174 @@
+package org.citronrelay.internal.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.citronrelay.Catalogue;
+import org.citronrelay.Findings;
+import org.citronrelay.internal.catalogue.CatalogueReader;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.report.BurnReport;
+import org.citronrelay.internal.time.Pause;
+
+/**
+ * The commands of operators: the catalogue and the report.
+ */
+final class CatalogueCommands {
+
+	private static final String BASE = "base";
+
+	private static final String WAIT = "wait";
+
+	private static final String HTML = "html";
+
+	private static final long WAIT_STEP_MS = 200;
+
+	private static final long MOST_WAIT_MS = 30_000;
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	CatalogueCommands(PrintStream out, PrintStream err) {
+		this.out = out;
+		this.err = err;
+	}
+
+	List<Command> commands() {
+		return List.of(
+				new Command("catalogue validate", "", "Checks a catalogue without applying it.",
+						new Options().addOption(Flags.required(Flags.FILE, "FILE", "The catalogue.")), this::validate),
+				new Command("catalogue apply", "", "Applies a catalogue.", Flags.client()
+					.addOption(Flags.required(Flags.FILE, "FILE", "The catalogue."))
+					.addOption(Flags.required(BASE, "NUMBER", "The version that was edited, 0 for the first."))
+					.addOption(Flags.flag(WAIT, "Waits until it is in force everywhere and says where not yet.")),
+						this::apply),
+				new Command("catalogue show", "", "Prints the version in force at each entry process.", Flags.client(),
+						this::show),
+				new Command("catalogue history", "", "Lists the latest versions.", Flags.client(), this::history),
+				new Command("catalogue export", "", "Prints the catalogue in force, to be edited or imported.",
+						Flags.client(), this::export),
+				new Command("report", "", "Prints how fast the error budgets burn, and what teams are owed.",
+						Flags.client().addOption(Flags.optional(HTML, "FILE", "Writes one page with plots instead.")),
+						this::report));
+	}
+
+	private int validate(CommandLine line) throws UsageException {
+		Either<Findings, Catalogue> read = CatalogueReader.read(Flags.file(line, Flags.FILE));
+		if (read.isLeft()) {
+			this.err.println(read.getLeft().text());
+			return Program.FAILED;
+		}
+		this.out.println("The catalogue is well-formed. Whether the fleet can hold it is checked when it is applied.");
+		return 0;
+	}
+
+	private int apply(CommandLine line) throws UsageException {
+		HttpCall call = HttpCall.of("PUT", "/v1/catalogue")
+			.query("base", Long.toString(Flags.number(line, BASE, 0)))
+			.body(Flags.file(line, Flags.FILE));
+		try (EntryClient client = new EntryClient(line, this.out, this.err)) {
+			long[] number = new long[1];
+			int code = client.print(call, (stream, body) -> {
+				number[0] = body.path("number").asLong();
+				stream.println("Version " + number[0] + " is accepted, change " + body.path("changeId").asText() + ".");
+			});
+			return (code == 0 && line.hasOption(WAIT)) ? await(client, number[0]) : code;
+		}
+	}
+
+	/**
+	 * Waits until a version is in force at all entry processes that are reached.
+	 */
+	private int await(EntryClient client, long number) {
+		JsonNode entries = Json.array();
+		for (long waited = 0; waited <= MOST_WAIT_MS; waited += WAIT_STEP_MS) {
+			Exchange exchange = client.call(HttpCall.of("GET", "/v1/catalogue/in-force"));
+			entries = (exchange instanceof Exchange.Answered answered) ? answered.reply().json().path("entries")
+					: entries;
+			if (!entries.isEmpty() && behind(entries, number) == 0) {
+				printInForce(this.out, entries);
+				return 0;
+			}
+			Pause.millis(WAIT_STEP_MS);
+		}
+		printInForce(this.out, entries);
+		this.err.println("Not in force everywhere after " + MOST_WAIT_MS + " ms.");
+		return Program.FAILED;
+	}
+
+	private static int behind(JsonNode entries, long number) {
+		int behind = 0;
+		for (JsonNode entry : entries) {
+			behind += (entry.path("reached").asBoolean() && entry.path("version").asLong() < number) ? 1 : 0;
+		}
+		return behind;
+	}
+
+	private int show(CommandLine line) throws UsageException {
+		try (EntryClient client = new EntryClient(line, this.out, this.err)) {
+			return client.print(HttpCall.of("GET", "/v1/catalogue/in-force"),
+					(stream, body) -> printInForce(stream, body.path("entries")));
+		}
+	}
+
+	private int history(CommandLine line) throws UsageException {
+		try (EntryClient client = new EntryClient(line, this.out, this.err)) {
+			return client.print(HttpCall.of("GET", "/v1/catalogue/history"),
+					(stream, body) -> body.path("versions")
+						.forEach((version) -> stream.printf("%6d  %s  %s  %s%n", version.path("number").asLong(),
+								java.time.Instant.ofEpochMilli(version.path("atMs").asLong()),
+								version.path("author").asText(), version.path("changeId").asText())));
+		}
+	}
+
+	private int export(CommandLine line) throws UsageException {
+		try (EntryClient client = new EntryClient(line, this.out, this.err)) {
+			return client.print(HttpCall.of("GET", "/v1/catalogue"),
+					(stream, body) -> stream.println(Json.pretty(body.path("catalogue"))));
+		}
+	}
+
+	private int report(CommandLine line) throws UsageException {
+		String page = line.getOptionValue(HTML, "");
+		try (EntryClient client = new EntryClient(line, this.out, this.err)) {
+			return client.print(HttpCall.of("GET", "/v1/report"), (stream, body) -> {
+				BurnReport report = BurnReport.of(body);
+				if (page.isEmpty()) {
+					stream.print(report.text());
+				}
+				else {
+					write(page, report.html());
+				}
+			});
+		}
+	}
+
+	private void write(String page, String text) {
+		try {
+			Files.writeString(Path.of(page), text);
+			this.out.println("Wrote " + page + ".");
+		}
+		catch (IOException ex) {
+			this.err.println("Could not write " + page + ": " + ex.getMessage() + ".");
+		}
+	}
+
+	private static void printInForce(PrintStream out, JsonNode entries) {
+		for (JsonNode entry : entries) {
+			out.printf("%s  %-20s version %d%s%n", entry.path("process").asText(), entry.path("failureDomain").asText(),
+					entry.path("version").asLong(),
+					entry.path("reached").asBoolean() ? "" : "  (not reached, last heard of)");
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cli/EntryClient.java
@@ -0,0 +1,116 @@
+package org.citronrelay.internal.cli;
+
+import java.io.PrintStream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.CommandLine;
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpClient;
+import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.internal.json.Json;
+
+/**
+ * Calls an entry process for a command and prints what it answers.
+ */
+final class EntryClient implements AutoCloseable {
+
+	private static final int LARGEST_ANSWER_BYTES = 64 * 1024 * 1024;
+
+	private static final long TIMEOUT_MS = 60_000;
+
+	private static final int FIRST_BAD_STATUS = 300;
+
+	private final HttpClient client = new HttpClient(LARGEST_ANSWER_BYTES);
+
+	private final Address address;
+
+	private final String token;
+
+	private final boolean json;
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	EntryClient(CommandLine line, PrintStream out, PrintStream err) throws UsageException {
+		this.address = Flags.address(line, Flags.ENTRY);
+		this.token = line.getOptionValue(Flags.TOKEN, System.getenv().getOrDefault("CITRONRELAY_TOKEN", ""));
+		this.json = Flags.json(line);
+		this.out = out;
+		this.err = err;
+	}
+
+	Exchange call(HttpCall call) {
+		return this.client.exchange(this.address, call.header("Authorization", "Bearer " + this.token), TIMEOUT_MS,
+				true);
+	}
+
+	/**
+	 * Calls and prints the answer.
+	 * @return the exit code
+	 */
+	int print(HttpCall call, Printer printer) {
+		return switch (call(call)) {
+			case Exchange.Answered answered when answered.reply().status() < FIRST_BAD_STATUS ->
+				printGood(answered.reply(), printer);
+			case Exchange.Answered answered -> printBad(answered.reply());
+			case Exchange.NotSent notSent -> printGone("The call was not sent: " + notSent.reason());
+			case Exchange.Broken broken -> printGone("The call may have arrived: " + broken.reason());
+		};
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+	private int printGood(HttpReply reply, Printer printer) {
+		if (this.json) {
+			this.out.println(Json.pretty(reply.json()));
+		}
+		else {
+			printer.print(this.out, reply.json());
+		}
+		return 0;
+	}
+
+	private int printBad(HttpReply reply) {
+		JsonNode problem = reply.json();
+		if (this.json) {
+			this.out.println(Json.pretty(problem));
+			return Program.FAILED;
+		}
+		this.err.println(problem.path("title").asText("status " + reply.status()));
+		for (JsonNode finding : problem.path("findings")) {
+			this.err.println("  at " + finding.path("pointer").asText() + ": found " + finding.path("value").asText()
+					+ ", allowed is " + finding.path("allowed").asText());
+		}
+		for (JsonNode clash : problem.path("clashes")) {
+			this.err.println("  both changes touch " + clash.asText());
+		}
+		this.err.println(problem.path("next").asText());
+		return Program.FAILED;
+	}
+
+	private int printGone(String what) {
+		this.err.println(what + ".");
+		this.err.println("Check --entry, or try another entry process.");
+		return Program.FAILED;
+	}
+
+	/**
+	 * Prints an answer for people.
+	 */
+	@FunctionalInterface
+	interface Printer {
+
+		/**
+		 * Prints it.
+		 */
+		void print(PrintStream out, JsonNode body);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
@@ -0,0 +1,120 @@
+package org.citronrelay.internal.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.citronrelay.Findings;
+import org.citronrelay.internal.demo.Demo;
+import org.citronrelay.internal.entry.EntryProcess;
+import org.citronrelay.internal.logging.LogSetup;
+import org.citronrelay.internal.settings.EntrySettings;
+import org.citronrelay.internal.settings.LogSettings;
+import sun.misc.Signal;
+
+/**
+ * The server and the demo.
+ */
+final class EntryCommands {
+
+	private static final String SETTINGS = "settings";
+
+	private static final String CHECK = "check";
+
+	private static final String EXAMPLES = "examples";
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	EntryCommands(PrintStream out, PrintStream err) {
+		this.out = out;
+		this.err = err;
+	}
+
+	List<Command> commands() {
+		return List.of(
+				new Command("entry", "", "Runs an entry process.",
+						new Options().addOption(Flags.required(SETTINGS, "FILE", "The settings in JSON."))
+							.addOption(Flags.flag(CHECK, "Only checks the settings.")),
+						this::entry),
+				new Command("demo", "[EXAMPLE]", "Runs an example with all parts in this process.",
+						new Options().addOption(
+								Flags.optional(EXAMPLES, "FOLDER", "Where the examples are, examples by standard.")),
+						this::demo),
+				new Command("version", "", "Prints the version.", new Options(), this::version));
+	}
+
+	private int entry(CommandLine line) {
+		Either<Findings, EntrySettings> settings = EntrySettings.read(Path.of(line.getOptionValue(SETTINGS)));
+		if (settings.isLeft()) {
+			this.err.println("The settings have " + settings.getLeft().list().size() + " finding(s):");
+			this.err.println(settings.getLeft().text());
+			return Program.WRONG_USE;
+		}
+		if (line.hasOption(CHECK)) {
+			this.out.println("The settings are good.");
+			return 0;
+		}
+		setUpLogs(settings.get().log());
+		return serve(settings.get());
+	}
+
+	private int serve(EntrySettings settings) {
+		EntryProcess process = new EntryProcess(settings);
+		AtomicInteger cut = new AtomicInteger();
+		CountDownLatch stopped = new CountDownLatch(1);
+		AtomicBoolean stopping = new AtomicBoolean();
+		Runnable stop = () -> {
+			if (stopping.compareAndSet(false, true)) {
+				cut.set(process.stop());
+				stopped.countDown();
+			}
+			else {
+				cut.set(process.inProgress());
+				this.err.println("Stopped at once, " + cut.get() + " calls were cut.");
+				stopped.countDown();
+			}
+		};
+		Signal.handle(new Signal("TERM"), (signal) -> stop.run());
+		Signal.handle(new Signal("INT"), (signal) -> stop.run());
+		process.start();
+		await(stopped);
+		return (cut.get() == 0) ? 0 : Program.FAILED;
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void setUpLogs(LogSettings log) {
+		if (log.format() == LogSettings.Format.JSON) {
+			LogSetup.json();
+		}
+		LogSetup.level(log.level().name());
+	}
+
+	private int demo(CommandLine line) {
+		String example = line.getArgList().isEmpty() ? "association" : line.getArgList().getFirst();
+		LogSetup.level("WARN");
+		return new Demo(Path.of(line.getOptionValue(EXAMPLES, EXAMPLES)), example, this.out).run();
+	}
+
+	private int version(CommandLine line) {
+		String version = Program.class.getPackage().getImplementationVersion();
+		this.out.println("citronrelay " + ((version != null) ? version : "unpackaged"));
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cli/Program.java
@@ -0,0 +1,106 @@
+package org.citronrelay.internal.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+
+import io.vavr.control.Option;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Finds the command that the arguments name and runs it.
+ */
+public final class Program {
+
+	/** The exit code of a command that failed. */
+	public static final int FAILED = 1;
+
+	/** The exit code of wrong use. */
+	public static final int WRONG_USE = 2;
+
+	private final List<Command> commands = new ArrayList<>();
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	public Program(PrintStream out, PrintStream err) {
+		this.out = out;
+		this.err = err;
+		this.commands.addAll(new EntryCommands(out, err).commands());
+		this.commands.addAll(new RequestCommands(out, err).commands());
+		this.commands.addAll(new CatalogueCommands(out, err).commands());
+		this.commands.addAll(new StandInCommands(out).commands());
+	}
+
+	/**
+	 * Runs a command.
+	 * @return the exit code
+	 */
+	public int run(String... arguments) {
+		if (arguments.length == 0 || arguments[0].equals("--help") || arguments[0].equals("help")) {
+			return overview();
+		}
+		Option<Command> command = find(arguments);
+		if (command.isEmpty()) {
+			this.err.println("citronrelay: there is no command \"" + String.join(" ", firstTwo(arguments)) + "\".");
+			this.err.println("Run 'citronrelay --help' for the list of commands.");
+			return WRONG_USE;
+		}
+		int words = command.get().name().split(" ").length;
+		return run(command.get(), Arrays.copyOfRange(arguments, words, arguments.length));
+	}
+
+	private int run(Command command, String[] arguments) {
+		if (Arrays.asList(arguments).contains("--help")) {
+			HelpText.print(this.out, command);
+			return 0;
+		}
+		try {
+			CommandLine line = new DefaultParser().parse(command.options(), arguments);
+			return command.action().run(line);
+		}
+		catch (ParseException ex) {
+			return wrongUse(command, ex.getMessage() + ".", "");
+		}
+		catch (UsageException ex) {
+			return wrongUse(command, ex.getMessage(), ex.advice());
+		}
+	}
+
+	private int wrongUse(Command command, String what, String advice) {
+		this.err.println("citronrelay " + command.name() + ": " + what);
+		if (!advice.isEmpty()) {
+			this.err.println(advice);
+		}
+		this.err.println("Run 'citronrelay " + command.name() + " --help' for its options.");
+		return WRONG_USE;
+	}
+
+	private Option<Command> find(String[] arguments) {
+		String words = String.join(" ", firstTwo(arguments));
+		return Option.ofOptional(this.commands.stream()
+			.filter((command) -> words.equals(command.name()) || words.startsWith(command.name() + " "))
+			.max(Comparator.comparingInt((command) -> command.name().length())));
+	}
+
+	private int overview() {
+		this.out.println("Usage: citronrelay COMMAND [OPTIONS]");
+		this.out.println();
+		for (Command command : this.commands) {
+			this.out.printf("  %-22s %s%n", command.name(), command.summary());
+		}
+		this.out.println();
+		this.out.println("Run 'citronrelay COMMAND --help' for the options of a command.");
+		return 0;
+	}
+
+	private static List<String> firstTwo(String[] arguments) {
+		return Arrays.asList(arguments).subList(0, Math.min(2, arguments.length));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package org.citronrelay.internal.cli;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry process: its parts, their threads, and its planned stop.
+ */
+package org.citronrelay.internal.entry;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -0,0 +1,204 @@
+package org.citronrelay.internal.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.StringJoiner;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * An HTTP client in which each call has a connection to itself, so that a late answer can
+ * never be taken for the answer of another call.
+ *
+ * <pre>
+ * Exchange exchange = client.exchange(address, HttpCall.of("GET", "/health"), 500, false);
+ * </pre>
+ */
+public final class HttpClient implements AutoCloseable {
+
+	private static final long CONNECT_TIMEOUT_MS = 500;
+
+	private static final long IDLE_REUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+	private static final long SURE_REUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private final TCPNIOTransport transport;
+
+	private final FilterChain chain;
+
+	private final Map<Address, ConcurrentLinkedDeque<IdleConnection>> idle = new ConcurrentHashMap<>();
+
+	public HttpClient(int largestAnswerBytes) {
+		this.transport = TCPNIOTransportBuilder.newInstance()
+			.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+				.copy()
+				.setPoolName("http-client")
+				.setCorePoolSize(2)
+				.setMaxPoolSize(4))
+			.setSelectorRunnersCount(1)
+			.setTcpNoDelay(true)
+			.build();
+		this.chain = FilterChainBuilder.stateless()
+			.add(new TransportFilter())
+			.add(new HttpClientFilter())
+			.add(new AnswerFilter(largestAnswerBytes))
+			.build();
+		try {
+			this.transport.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot start the HTTP client", ex);
+		}
+	}
+
+	/**
+	 * Sends a call and waits for the whole answer.
+	 * @param address where to
+	 * @param call what to send
+	 * @param timeoutMs how long to wait for the answer, in milliseconds
+	 * @param sure whether only a connection that answered a moment ago may be used again;
+	 * for calls that must not be sent twice
+	 */
+	public Exchange exchange(Address address, HttpCall call, long timeoutMs, boolean sure) {
+		Connection<?> connection;
+		try {
+			connection = connection(address, sure, timeoutMs);
+		}
+		catch (IOException ex) {
+			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage());
+		}
+		PendingAnswer pending = PendingAnswer.attach(connection);
+		connection.write(packet(address, call));
+		Exchange exchange = pending.await(timeoutMs);
+		settle(address, connection, exchange);
+		return exchange;
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.transport.shutdownNow();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot stop the HTTP client", ex);
+		}
+	}
+
+	private void settle(Address address, Connection<?> connection, Exchange exchange) {
+		switch (exchange) {
+			case Exchange.Answered answered when keepsAlive(answered.reply()) ->
+				idle(address).push(new IdleConnection(connection, System.nanoTime()));
+			case Exchange.Answered _ -> connection.closeSilently();
+			case Exchange.NotSent _ -> connection.closeSilently();
+			case Exchange.Broken broken -> {
+				connection.closeSilently();
+				if (broken.silent()) {
+					closeIdle(address);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Closes all idle connections to an address: one that went silent makes its
+	 * neighbours suspect.
+	 */
+	private void closeIdle(Address address) {
+		ConcurrentLinkedDeque<IdleConnection> suspects = idle(address);
+		for (IdleConnection suspect = suspects.poll(); suspect != null; suspect = suspects.poll()) {
+			suspect.connection().closeSilently();
+		}
+	}
+
+	private Connection<?> connection(Address address, boolean sure, long timeoutMs) throws IOException {
+		long oldest = System.nanoTime() - (sure ? SURE_REUSE_NANOS : IDLE_REUSE_NANOS);
+		ConcurrentLinkedDeque<IdleConnection> candidates = idle(address);
+		for (IdleConnection next = candidates.poll(); next != null; next = candidates.poll()) {
+			if (next.connection().isOpen() && next.sinceNanos() - oldest > 0) {
+				return next.connection();
+			}
+			next.connection().closeSilently();
+		}
+		return connect(address, Math.min(timeoutMs, CONNECT_TIMEOUT_MS));
+	}
+
+	private Connection<?> connect(Address address, long timeoutMs) throws IOException {
+		try {
+			return TCPNIOConnectorHandler.builder(this.transport)
+				.processor(this.chain)
+				.build()
+				.connect(address.socket())
+				.get(timeoutMs, TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException ex) {
+			throw new IOException(ex.getCause().getMessage(), ex.getCause());
+		}
+		catch (TimeoutException ex) {
+			throw new IOException("no connection within " + timeoutMs + " ms", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted", ex);
+		}
+	}
+
+	private ConcurrentLinkedDeque<IdleConnection> idle(Address address) {
+		return this.idle.computeIfAbsent(address, (key) -> new ConcurrentLinkedDeque<>());
+	}
+
+	private static HttpContent packet(Address address, HttpCall call) {
+		HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
+			.method(call.method())
+			.uri(call.path())
+			.protocol(Protocol.HTTP_1_1)
+			.header("Host", address.toString())
+			.contentLength(call.body().length);
+		if (!call.query().isEmpty()) {
+			builder.query(query(call.query()));
+		}
+		call.headers().forEach(builder::header);
+		return HttpContent.builder(builder.build())
+			.content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, call.body()))
+			.last(true)
+			.build();
+	}
+
+	private static String query(Map<String, String> parameters) {
+		StringJoiner joiner = new StringJoiner("&");
+		parameters.forEach((name, value) -> joiner.add(encoded(name) + "=" + encoded(value)));
+		return joiner.toString();
+	}
+
+	private static String encoded(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8);
+	}
+
+	private static boolean keepsAlive(HttpReply reply) {
+		return !reply.header("Connection").exists("close"::equalsIgnoreCase);
+	}
+
+	private record IdleConnection(Connection<?> connection, long sinceNanos) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/http/HttpEndpoint.java
@@ -0,0 +1,205 @@
+package org.citronrelay.internal.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.citronrelay.internal.logging.Part;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * An HTTP server on one address.
+ */
+public final class HttpEndpoint implements AutoCloseable {
+
+	private static final int SELECTOR_THREADS = 1;
+
+	private static final int STATUS_TOO_LARGE = 413;
+
+	private static final int STATUS_FAILED = 500;
+
+	private final HttpServer server;
+
+	private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
+
+	private final AtomicInteger inProgress = new AtomicInteger();
+
+	private final HttpLimits limits;
+
+	private HttpEndpoint(Address address, HttpLimits limits, HttpHandler handler) {
+		this.limits = limits;
+		this.server = new HttpServer();
+		NetworkListener listener = new NetworkListener("http", address.host(), address.port());
+		listener.setMaxHttpHeaderSize(limits.headerBytes());
+		listener.getKeepAlive().setIdleTimeoutInSeconds((int) limits.idle().toSeconds());
+		listener.getKeepAlive().setMaxRequestsCount(-1);
+		listener.getTransport().setWorkerThreadPoolConfig(pool("http-worker"));
+		listener.getTransport().setSelectorRunnersCount(SELECTOR_THREADS);
+		listener.getTransport().setReadTimeout(limits.idle().toMillis(), TimeUnit.MILLISECONDS);
+		listener.getTransport().setTcpNoDelay(true);
+		listener.getTransport()
+			.getConnectionMonitoringConfig()
+			.addProbes(new ConnectionCap(new AtomicInteger(), limits.connections()));
+		this.server.addListener(listener);
+		this.server.getServerConfiguration().addHttpHandler(new Adapter(handler), "/");
+		this.server.getServerConfiguration().setName("citronrelay");
+	}
+
+	/**
+	 * Starts to listen.
+	 * @throws UncheckedIOException if the address cannot be bound
+	 */
+	public static HttpEndpoint start(Address address, HttpLimits limits, HttpHandler handler) {
+		HttpEndpoint endpoint = new HttpEndpoint(address, limits, handler);
+		try {
+			endpoint.server.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot listen on " + address, ex);
+		}
+		return endpoint;
+	}
+
+	/**
+	 * The number of calls that have not been answered yet.
+	 */
+	public int inProgress() {
+		return this.inProgress.get();
+	}
+
+	@Override
+	public void close() {
+		this.server.shutdownNow();
+		this.calls.shutdownNow();
+	}
+
+	private static ThreadPoolConfig pool(String name) {
+		return ThreadPoolConfig.defaultConfig().copy().setPoolName(name).setCorePoolSize(2).setMaxPoolSize(2);
+	}
+
+	private final class Adapter extends org.glassfish.grizzly.http.server.HttpHandler {
+
+		private final HttpHandler handler;
+
+		Adapter(HttpHandler handler) {
+			this.handler = handler;
+		}
+
+		@Override
+		public void service(Request request, Response response) {
+			HttpEndpoint.this.inProgress.incrementAndGet();
+			response.suspend();
+			HttpEndpoint.this.calls.execute(() -> answer(request, response));
+		}
+
+		private void answer(Request request, Response response) {
+			try {
+				deliver(request, response, reply(request));
+			}
+			catch (IOException ex) {
+				Part.REQUEST.logger().debug("Connection lost: {}.", ex.getMessage());
+			}
+			finally {
+				HttpEndpoint.this.inProgress.decrementAndGet();
+				response.resume();
+			}
+		}
+
+		private HttpReply reply(Request request) throws IOException {
+			int most = HttpEndpoint.this.limits.bodyBytes();
+			if (request.getContentLengthLong() > most) {
+				return tooLarge(most);
+			}
+			byte[] body = request.getInputStream().readNBytes(most + 1);
+			if (body.length > most) {
+				return tooLarge(most);
+			}
+			try {
+				return this.handler.handle(call(request, body));
+			}
+			catch (RuntimeException ex) {
+				Part.ENTRY.logger().error("A call failed inside.", ex);
+				return Problem
+					.of(STATUS_FAILED, "internal", "The call failed inside the server.",
+							"Ask the operators to look at the log.")
+					.reply();
+			}
+		}
+
+		private HttpReply tooLarge(int most) {
+			return Problem
+				.of(STATUS_TOO_LARGE, "body-too-large", "The body is larger than " + most + " bytes.",
+						"Send a smaller body.")
+				.reply()
+				.header("Connection", "close");
+		}
+
+		private HttpCall call(Request request, byte[] body) {
+			Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+			for (String name : request.getHeaderNames()) {
+				headers.put(name, request.getHeader(name));
+			}
+			Map<String, String> query = new TreeMap<>();
+			for (String name : request.getParameterNames()) {
+				query.put(name, request.getParameter(name));
+			}
+			return new HttpCall(request.getMethod().getMethodString(), request.getRequestURI(), query, headers, body);
+		}
+
+		private void deliver(Request request, Response response, HttpReply reply) throws IOException {
+			switch (reply.delivery()) {
+				case WHOLE -> write(response, reply, reply.body().length);
+				case CUT -> {
+					write(response, reply, reply.body().length / 2);
+					request.getRequest().getConnection().closeSilently();
+				}
+				case DROPPED -> request.getRequest().getConnection().closeSilently();
+			}
+		}
+
+		private void write(Response response, HttpReply reply, int bytes) throws IOException {
+			response.setStatus(reply.status());
+			reply.headers().forEach(response::setHeader);
+			response.setContentLength(reply.body().length);
+			response.getOutputStream().write(reply.body(), 0, bytes);
+			response.getOutputStream().flush();
+		}
+
+	}
+
+	/**
+	 * Closes connections past the limit as they are accepted.
+	 */
+	private static final class ConnectionCap extends ConnectionProbe.Adapter {
+
+		private final AtomicInteger open;
+
+		private final int most;
+
+		ConnectionCap(AtomicInteger open, int most) {
+			this.open = open;
+			this.most = most;
+		}
+
+		@Override
+		public void onAcceptEvent(Connection serverConnection, Connection clientConnection) {
+			if (this.open.incrementAndGet() > this.most) {
+				clientConnection.closeSilently();
+			}
+			clientConnection.addCloseListener((closeable, type) -> this.open.decrementAndGet());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/json/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Reading JSON with findings: every fault is collected with its pointer before any is
+ * reported.
+ */
+package org.citronrelay.internal.json;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The machinery, grouped by the stage of the pipeline that it serves. Nothing here is
+ * public surface.
+ */
+package org.citronrelay.internal;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/pipeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The path of a request: a chain of filters, each of which answers or hands on.
+ */
+package org.citronrelay.internal.pipeline;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of a process: one JSON file, checked whole before anything starts.
+ */
+package org.citronrelay.internal.settings;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/standin/RateLimit.java
@@ -0,0 +1,29 @@
+package org.citronrelay.internal.standin;
+
+/**
+ * A limit of calls a second, counted in whole seconds.
+ */
+final class RateLimit {
+
+	private static final long WINDOW_MS = 1_000;
+
+	private final int perSecond;
+
+	private long windowStart = Long.MIN_VALUE;
+
+	private int used;
+
+	RateLimit(int perSecond) {
+		this.perSecond = perSecond;
+	}
+
+	synchronized boolean allows(long now) {
+		if (now - this.windowStart >= WINDOW_MS) {
+			this.windowStart = now;
+			this.used = 0;
+		}
+		this.used++;
+		return this.used <= this.perSecond;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/citronrelay/endtoend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The whole system as separate processes on loopback.
+ */
+package org.citronrelay.endtoend;
