--- a/src/main/java/org/citronrelay/internal/api/JobApi.java
+++ b/src/main/java/org/citronrelay/internal/api/JobApi.java
@@ -56,10 +56,10 @@
 		if (spec.isLeft()) {
 			return Problem.findings("job", spec.getLeft()).with("accepted", "no").reply();
 		}
-		Option<String> home = this.desk.homeFor(spec.get(), team, this.vms.get());
+		Option<String> home = this.desk.homeFor(spec.get(), team, catalogue, this.vms.get());
 		if (home.isEmpty()) {
 			Findings never = Findings.of("/shape", spec.get().shape().toString(),
-					"a shape that the VMs of one failure domain can hold");
+					"a shape that the VMs of one failure domain can hold beside what is guaranteed to other teams");
 			return Problem.findings("job", never).with("accepted", "no").reply();
 		}
 		Option<String> key = call.header("Idempotency-Key");
--- a/src/main/java/org/citronrelay/internal/api/JobDesk.java
+++ b/src/main/java/org/citronrelay/internal/api/JobDesk.java
@@ -11,6 +11,7 @@
 import org.citronrelay.CatalogueEntry.ServiceClass;
 import org.citronrelay.CatalogueEntry.Team;
 import org.citronrelay.JobSpec;
+import org.citronrelay.Reclaim;
 import org.citronrelay.Shape;
 import org.citronrelay.internal.catalogue.CatalogueVersion;
 import org.citronrelay.internal.gang.DomainEvent.RecordSeen;
@@ -19,7 +20,9 @@
 import org.citronrelay.internal.gang.JobRecord.Owner;
 import org.citronrelay.internal.gang.JobRecord.StoredState;
 import org.citronrelay.internal.holder.JobStore;
+import org.citronrelay.internal.placement.Ask;
 import org.citronrelay.internal.placement.Feasibility;
+import org.citronrelay.internal.placement.GuaranteePlanner;
 import org.citronrelay.internal.platform.KvFailure;
 import org.citronrelay.internal.platform.Vm;
 
@@ -51,11 +54,14 @@
 	 * The failure domain for a job: one where it can run at all, where its team has a
 	 * guarantee if there is one, then the own one, then the one with the least load.
 	 */
-	Option<String> homeFor(JobSpec spec, Team team, List<Vm> vms) {
+	Option<String> homeFor(JobSpec spec, Team team, Catalogue catalogue, List<Vm> vms) {
+		JobKind kind = catalogue.jobKind(spec.kind()).get();
+		Ask ask = new Ask("new", team.id(), spec.shape(), kind.reclaim() != Reclaim.NEVER, false);
 		return Option.ofOptional(vms.stream()
 			.map(Vm::failureDomain)
 			.distinct()
-			.filter((domain) -> Feasibility.everFits(inDomain(vms, domain), spec.shape()))
+			.filter((domain) -> Feasibility.everFits(inDomain(vms, domain), GuaranteePlanner.wanted(catalogue, domain),
+					ask))
 			.min(Comparator.comparing((String domain) -> !guaranteed(team, domain, spec.shape()))
 				.thenComparing((domain) -> this.loadOf.apply(domain))
 				.thenComparing((domain) -> !domain.equals(this.ownDomain))
@@ -103,7 +109,8 @@
 	}
 
 	/**
-	 * Cancels a job. One that was not started never starts after this.
+	 * Asks for a job to be cancelled. It is cancelled once its holder has confirmed that;
+	 * from then on it never starts.
 	 * @return the stored record, or what was seen instead
 	 */
 	Either<String, RecordSeen> cancel(RecordSeen seen) {
@@ -113,9 +120,7 @@
 			if (record.state().terminal() || record.state() == StoredState.CANCELLING) {
 				return Either.right(current);
 			}
-			boolean queued = record.state() == StoredState.QUEUED;
-			JobRecord next = record.ended(queued ? StoredState.CANCELLED : StoredState.CANCELLING,
-					"cancelled by the caller");
+			JobRecord next = record.ended(StoredState.CANCELLING, "its caller wants it cancelled");
 			switch (this.store.replace(domainOf(record.id()), next, current.revision())) {
 				case StoreResult.Done done -> {
 					return Either.right(new RecordSeen(next, done.revision()));
--- a/src/main/java/org/citronrelay/internal/gang/DomainDraft.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainDraft.java
@@ -64,9 +64,9 @@
 	}
 
 	Decision decision() {
-		DomainState after = new DomainState(this.before.failureDomain(), this.before.timings(), this.catalogue,
-				this.fleet, this.plan, this.jobs, this.kept, this.unreachable, this.failures, this.estimates,
-				this.nextRenewAt);
+		DomainState after = new DomainState(this.before.failureDomain(), this.before.epoch(), this.before.timings(),
+				this.catalogue, this.fleet, this.plan, this.jobs, this.kept, this.unreachable, this.failures,
+				this.estimates, this.nextRenewAt);
 		return new Decision(after, this.effects);
 	}
 
@@ -74,6 +74,10 @@
 		return this.now;
 	}
 
+	long epoch() {
+		return this.before.epoch();
+	}
+
 	DomainTimings timings() {
 		return this.before.timings();
 	}
@@ -211,6 +215,13 @@
 		}
 	}
 
+	/**
+	 * Asks for the guarantees to be planned anew at the end of the decision.
+	 */
+	void planAgain() {
+		this.planStale = true;
+	}
+
 	/**
 	 * Asks for a walk through the queue at the end of the decision.
 	 */
@@ -218,6 +229,19 @@
 		this.roomChanged = true;
 	}
 
+	/**
+	 * Plans the guarantees from nothing where that leaves none short, so that blocks that
+	 * stand in the way of a large job move together.
+	 */
+	void replanAnew() {
+		GuaranteePlan anew = GuaranteePlanner.planAnew(this.fleet,
+				GuaranteePlanner.wanted(this.catalogue, this.before.failureDomain()));
+		if (anew.shortfalls().isEmpty()) {
+			this.plan = anew;
+			this.fleet = this.fleet.withBlocks(anew.blocks());
+		}
+	}
+
 	MemberRef member(String job, int attempt, int number, Choice choice) {
 		Vm vm = this.fleet.vm(choice.allocations().get(number).vm()).vm();
 		return new MemberRef(new TaskId(job, attempt, number, choice.allocations().size()), vm.id(), vm.address());
--- a/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
@@ -1,17 +1,9 @@
 package org.citronrelay.internal.gang;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
-import org.citronrelay.Shape;
 import org.citronrelay.internal.gang.JobPhase.EndCause;
-import org.citronrelay.internal.gang.JobRecord.Member;
 import org.citronrelay.internal.gang.JobRecord.StoredState;
-import org.citronrelay.internal.placement.Allocation;
-import org.citronrelay.internal.placement.Choice;
-import org.citronrelay.internal.placement.Fleet;
-import org.citronrelay.internal.placement.Holding.Tenure;
 
 /**
  * Decides for the jobs of one failure domain.
@@ -64,92 +56,33 @@
 	}
 
 	private void seen(JobRecord record, long revision) {
+		if (record.epoch() > this.draft.epoch()) {
+			return;
+		}
 		Job known = this.draft.job(record.id()).getOrElse((Job) null);
 		if (known == null) {
-			adopt(record, revision);
+			this.steps.adopt(record, revision);
 		}
 		else if (revision > known.revision()) {
 			changed(known.stored(record, revision), known);
 		}
 	}
 
-	/**
-	 * Takes on a job that this holder does not know. One that is assigned counts as
-	 * running until its workers say otherwise.
-	 */
-	private void adopt(JobRecord record, long revision) {
-		if (record.state().terminal()) {
-			return;
-		}
-		long now = this.draft.now();
-		Job job = Job.queued(record, revision, now);
-		if (record.state() == StoredState.QUEUED) {
-			this.draft.put(job);
-			return;
-		}
-		Choice choice = choiceOf(record);
-		if (choice.allocations().size() < record.members().size()) {
-			this.steps.close(job, lostRecord(record));
-			return;
-		}
-		this.draft.hold(job, choice);
-		java.util.Map<Integer, Long> seenAt = new java.util.HashMap<>();
-		for (int member = 0; member < choice.allocations().size(); member++) {
-			seenAt.put(member, now);
-		}
-		JobPhase.Running running = new JobPhase.Running(choice, now, seenAt, java.util.Map.of());
-		this.draft.put(job.in(running));
-		if (record.state() == StoredState.CANCELLING) {
-			this.steps.end(job.in(running), choice, new EndCause.Cancelled());
-		}
-		else {
-			this.steps.startAgain(job, choice);
-		}
-	}
-
-	/**
-	 * The record of a job whose VMs are not in the list any more.
-	 */
-	private static JobRecord lostRecord(JobRecord record) {
-		boolean again = record.owner().idempotent() && record.starts() < record.owner().attempts()
-				&& record.state() == StoredState.ASSIGNED;
-		if (again) {
-			return record.queuedAgain(record.savedMs());
-		}
-		return (record.state() == StoredState.CANCELLING)
-				? record.ended(StoredState.CANCELLED, "cancelled by the caller")
-				: record.ended(StoredState.UNKNOWN, "its VMs are gone");
-	}
-
-	private Choice choiceOf(JobRecord record) {
-		Fleet fleet = this.draft.fleet();
-		Shape shape = record.spec().shape();
-		List<Allocation> allocations = new ArrayList<>();
-		for (Member member : record.members()) {
-			int index = fleet.indexOf(member.vm());
-			if (index >= 0) {
-				allocations.add(new Allocation(index, member.firstAccelerator(), shape.accelerators(), shape.cores(),
-						shape.memoryGb()));
-			}
-		}
-		return new Choice(allocations, Tenure.COMMON, Set.of());
-	}
-
 	/**
 	 * Takes a newer record of a known job: its caller may have cancelled it.
 	 */
 	private void changed(Job newer, Job known) {
 		this.draft.put(newer);
 		StoredState state = newer.record().state();
-		boolean cancelled = state == StoredState.CANCELLED || state == StoredState.CANCELLING;
-		if (!cancelled) {
+		if (state != StoredState.CANCELLING) {
 			return;
 		}
 		switch (known.phase()) {
-			case JobPhase.Queued _ -> this.draft.remove(newer.id());
+			case JobPhase.Queued _ -> this.steps.closeCancelled(newer);
 			case JobPhase.Reclaiming reclaiming -> {
 				this.draft.release(newer, reclaiming.choice());
-				this.draft.remove(newer.id());
+				this.steps.closeCancelled(newer);
+				this.steps.releaseWaiters(newer.id());
 			}
 			case JobPhase.Ending _, JobPhase.Closing _ -> {
 			}
--- a/src/main/java/org/citronrelay/internal/gang/DomainState.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainState.java
@@ -24,6 +24,7 @@
  * All that the holder of a failure domain knows. Immutable.
  *
  * @param failureDomain the failure domain
+ * @param epoch the epoch of its holder
  * @param timings its bounds of time
  * @param catalogue the catalogue in force
  * @param fleet its VMs with what is held on them
@@ -35,7 +36,7 @@
  * @param estimates how long jobs truly take
  * @param nextRenewAt when leases are renewed next, in monotonic milliseconds
  */
-public record DomainState(String failureDomain, DomainTimings timings, Catalogue catalogue, Fleet fleet,
+public record DomainState(String failureDomain, long epoch, DomainTimings timings, Catalogue catalogue, Fleet fleet,
 		GuaranteePlan plan, Map<String, Job> jobs, Option<KeptRoom> kept, Set<String> unreachable, VmFailures failures,
 		Estimates estimates, long nextRenewAt) {
 
@@ -49,8 +50,8 @@
 	/**
 	 * A failure domain without VMs and jobs.
 	 */
-	public static DomainState empty(String failureDomain, DomainTimings timings) {
-		return new DomainState(failureDomain, timings, Catalogue.EMPTY, Fleet.EMPTY, GuaranteePlan.EMPTY,
+	public static DomainState empty(String failureDomain, long epoch, DomainTimings timings) {
+		return new DomainState(failureDomain, epoch, timings, Catalogue.EMPTY, Fleet.EMPTY, GuaranteePlan.EMPTY,
 				HashMap.empty(), Option.none(), HashSet.empty(), VmFailures.NONE, Estimates.NONE, Long.MIN_VALUE);
 	}
 
--- a/src/main/java/org/citronrelay/internal/gang/GangSteps.java
+++ b/src/main/java/org/citronrelay/internal/gang/GangSteps.java
@@ -43,6 +43,13 @@
 		this.draft = draft;
 	}
 
+	/**
+	 * Takes on a job that this holder does not know.
+	 */
+	void adopt(JobRecord record, long revision) {
+		new Adoption(this.draft, this).adopt(record, revision);
+	}
+
 	/**
 	 * Begins an attempt in room that others may have to give back first.
 	 */
@@ -50,7 +57,8 @@
 		this.draft.hold(job, choice);
 		choice.victims().forEach((victim) -> this.draft.job(victim).forEach(this::reclaim));
 		Set<String> present = new HashSet<>(choice.victims());
-		present.removeIf((victim) -> this.draft.job(victim).isEmpty());
+		present
+			.removeIf((victim) -> !this.draft.job(victim).exists((other) -> other.phase() instanceof JobPhase.Holding));
 		if (present.isEmpty()) {
 			reserve(job, choice);
 		}
@@ -98,7 +106,9 @@
 	 */
 	void seen(Job job, JobPhase.Running running, int member, TaskState state, String answer) {
 		switch (state) {
-			case RUNNING, RESERVED -> {
+			case RESERVED -> this.draft
+				.emit(new Effect.Start(this.draft.member(job.id(), job.lastAttempt(), member, running.choice())));
+			case RUNNING -> {
 				Map<Integer, Long> seenAt = new HashMap<>(running.seenAt());
 				seenAt.put(member, this.draft.now());
 				this.draft.put(
@@ -163,11 +173,20 @@
 			case JobPhase.Reclaiming reclaiming -> {
 				this.draft.release(job, reclaiming.choice());
 				this.draft.put(job.in(new JobPhase.Queued(this.draft.now())));
+				releaseWaiters(job.id());
 			}
 			case JobPhase.Holding holding -> end(job, holding.choice(), new EndCause.Reclaimed());
 		}
 	}
 
+	/**
+	 * Stores that a job is cancelled. Only the holder writes this, so a job never starts
+	 * after it.
+	 */
+	void closeCancelled(Job job) {
+		close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
+	}
+
 	/**
 	 * Stores the last record of a job, or the one with which it waits again.
 	 */
@@ -217,7 +236,7 @@
 		for (Allocation allocation : choice.allocations()) {
 			members.add(new Member(this.draft.fleet().vm(allocation.vm()).vm().id(), allocation.first()));
 		}
-		return job.record().assigned(job.lastAttempt(), members);
+		return job.record().assigned(job.lastAttempt(), this.draft.epoch(), members);
 	}
 
 	private void recorded(Job job, JobPhase.Recording recording, JobRecord record, StoreResult result) {
@@ -233,16 +252,18 @@
 
 	/**
 	 * Another record stands where the attempt was to be stored: that of an earlier
-	 * attempt of ours whose reply was lost, or a cancellation.
+	 * attempt of ours whose reply was lost, that of another holder, or a cancellation.
 	 */
 	private void conflicted(Job job, JobPhase.Recording recording, JobRecord record, StoreResult.Conflict conflict) {
 		JobRecord current = conflict.current().getOrElse(job.record().ended(StoredState.CANCELLED, "deleted"));
-		if (current.state() == StoredState.QUEUED || current.state() == StoredState.ASSIGNED) {
+		boolean assigned = current.state() == StoredState.ASSIGNED;
+		if (current.state() == StoredState.QUEUED || (assigned && current.epoch() == this.draft.epoch())) {
 			this.draft.put(job.stored(job.record(), conflict.revision()));
 			this.draft.emit(new Effect.Store(record, conflict.revision()));
 			return;
 		}
-		end(job.stored(current, conflict.revision()), recording.choice(), new EndCause.Cancelled());
+		EndCause cause = assigned ? new EndCause.Superseded(current, conflict.revision()) : new EndCause.Cancelled();
+		end(assigned ? job : job.stored(current, conflict.revision()), recording.choice(), cause);
 	}
 
 	private void start(Job job, Choice choice) {
@@ -321,7 +342,7 @@
 			this.draft.remove(job.id());
 		}
 		else if (job.record().state() == StoredState.CANCELLING) {
-			close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
+			closeCancelled(job);
 		}
 		else {
 			afterEnd(job, ending);
@@ -337,6 +358,7 @@
 			case EndCause.NotStarted _ -> this.draft.put(job.in(new JobPhase.Queued(this.draft.now() + RETRY_MS)));
 			case EndCause.Cancelled _ ->
 				close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
+			case EndCause.Superseded superseded -> superseded(job, superseded);
 			case EndCause.Reclaimed _ when keepsProgress(job, ending) -> close(job, job.record().queuedAgain(saved));
 			case EndCause.Reclaimed _ ->
 				close(job, job.record().ended(StoredState.UNKNOWN, "reclaimed without a checkpoint in time"));
@@ -348,6 +370,16 @@
 		}
 	}
 
+	/**
+	 * Gives a job up to a newer holder, or takes on what an older one has started.
+	 */
+	private void superseded(Job job, EndCause.Superseded superseded) {
+		this.draft.remove(job.id());
+		if (superseded.record().epoch() < this.draft.epoch()) {
+			adopt(superseded.record(), superseded.revision());
+		}
+	}
+
 	/**
 	 * Whether a reclaimed job may run again: it never ran, or its progress is saved, or
 	 * it is idempotent.
@@ -370,7 +402,7 @@
 
 	private void closeOver(Job job, JobPhase.Closing closing, StoreResult.Conflict conflict) {
 		JobRecord current = conflict.current().getOrElse((JobRecord) null);
-		if (current == null || current.state().terminal()) {
+		if (current == null || current.state().terminal() || current.epoch() > this.draft.epoch()) {
 			this.draft.remove(job.id());
 			return;
 		}
@@ -390,7 +422,7 @@
 	/**
 	 * Lets jobs go on that waited for a job to give its room back.
 	 */
-	private void releaseWaiters(String gone) {
+	void releaseWaiters(String gone) {
 		for (Job waiter : this.draft.jobs()) {
 			if (waiter.phase() instanceof JobPhase.Reclaiming reclaiming && reclaiming.victims().contains(gone)) {
 				Set<String> left = new HashSet<>(reclaiming.victims());
--- a/src/main/java/org/citronrelay/internal/gang/JobPhase.java
+++ b/src/main/java/org/citronrelay/internal/gang/JobPhase.java
@@ -167,6 +167,15 @@
 		record NotStarted(String reason) implements EndCause {
 		}
 
+		/**
+		 * Another holder has started it; no member of this attempt ran.
+		 *
+		 * @param record what the other holder has stored
+		 * @param revision the revision of that
+		 */
+		record Superseded(JobRecord record, long revision) implements EndCause {
+		}
+
 		/**
 		 * A member was lost; some members may have run.
 		 *
--- a/src/main/java/org/citronrelay/internal/gang/JobRecord.java
+++ b/src/main/java/org/citronrelay/internal/gang/JobRecord.java
@@ -23,13 +23,14 @@
  * @param state its state
  * @param attempt the number of its latest attempt
  * @param starts how often it was started
+ * @param epoch the epoch of the holder that started it last
  * @param members where the members of the current attempt are
  * @param savedMs the progress that was saved, in milliseconds
  * @param answers the answers of all members once it is done
  * @param reason why it ended otherwise
  */
 public record JobRecord(String id, Owner owner, JobSpec spec, long submittedAtMs, StoredState state, int attempt,
-		int starts, List<Member> members, long savedMs, List<String> answers, String reason) {
+		int starts, long epoch, List<Member> members, long savedMs, List<String> answers, String reason) {
 
 	private static final String PREFIX = "/citronrelay/jobs/";
 
@@ -47,7 +48,7 @@
 	 * A job that was just accepted.
 	 */
 	public static JobRecord accepted(String id, Owner owner, JobSpec spec, long submittedAtMs) {
-		return new JobRecord(id, owner, spec, submittedAtMs, StoredState.QUEUED, 0, 0, List.of(), 0, List.of(), "");
+		return new JobRecord(id, owner, spec, submittedAtMs, StoredState.QUEUED, 0, 0, 0, List.of(), 0, List.of(), "");
 	}
 
 	/**
@@ -64,19 +65,19 @@
 		return prefix(failureDomain) + jobId;
 	}
 
-	JobRecord assigned(int newAttempt, List<Member> newMembers) {
+	JobRecord assigned(int newAttempt, long newEpoch, List<Member> newMembers) {
 		return new JobRecord(this.id, this.owner, this.spec, this.submittedAtMs, StoredState.ASSIGNED, newAttempt,
-				this.starts + 1, newMembers, this.savedMs, this.answers, "");
+				this.starts + 1, newEpoch, newMembers, this.savedMs, this.answers, "");
 	}
 
 	JobRecord queuedAgain(long newSavedMs) {
 		return new JobRecord(this.id, this.owner, this.spec, this.submittedAtMs, StoredState.QUEUED, this.attempt,
-				this.starts, List.of(), newSavedMs, List.of(), "");
+				this.starts, this.epoch, List.of(), newSavedMs, List.of(), "");
 	}
 
 	JobRecord done(List<String> newAnswers) {
 		return new JobRecord(this.id, this.owner, this.spec, this.submittedAtMs, StoredState.DONE, this.attempt,
-				this.starts, List.of(), this.savedMs, newAnswers, "");
+				this.starts, this.epoch, List.of(), this.savedMs, newAnswers, "");
 	}
 
 	/**
@@ -84,7 +85,7 @@
 	 */
 	public JobRecord ended(StoredState newState, String newReason) {
 		return new JobRecord(this.id, this.owner, this.spec, this.submittedAtMs, newState, this.attempt, this.starts,
-				this.members, this.savedMs, List.of(), newReason);
+				this.epoch, this.members, this.savedMs, List.of(), newReason);
 	}
 
 	/**
@@ -115,6 +116,7 @@
 			.put("state", this.state.name())
 			.put("attempt", this.attempt)
 			.put("starts", this.starts)
+			.put("epoch", this.epoch)
 			.put("savedMs", this.savedMs)
 			.put("reason", this.reason);
 		body.set("shape", ShapeJson.write(this.spec.shape()));
@@ -145,8 +147,8 @@
 		body.path("answers").forEach((answer) -> answers.add(answer.asText()));
 		return new JobRecord(body.path("id").asText(), owner, spec, body.path("submittedAtMs").asLong(),
 				StoredState.valueOf(body.path("state").asText()), body.path("attempt").asInt(),
-				body.path("starts").asInt(), members, body.path("savedMs").asLong(), answers,
-				body.path("reason").asText());
+				body.path("starts").asInt(), body.path("epoch").asLong(), members, body.path("savedMs").asLong(),
+				answers, body.path("reason").asText());
 	}
 
 	/**
@@ -183,7 +185,7 @@
 		QUEUED,
 		/** Starts or runs on its members. */
 		ASSIGNED,
-		/** Its caller has cancelled it while it was assigned. */
+		/** Its caller wants it cancelled; its holder has not confirmed that yet. */
 		CANCELLING,
 		/** Ended with the answers of all members. */
 		DONE,
--- a/src/main/java/org/citronrelay/internal/gang/QueuePass.java
+++ b/src/main/java/org/citronrelay/internal/gang/QueuePass.java
@@ -118,16 +118,25 @@
 	 */
 	private void keepRoom(Job job) {
 		boolean waitedLong = this.draft.now() - job.acceptedAt() >= this.draft.timings().keepAfterMs();
-		if (!waitedLong || this.draft.kept().exists((room) -> room.job().equals(job.id()) && stands(room))) {
+		if (!waitedLong || this.draft.kept().exists((room) -> room.job().equals(job.id()) && stands(room, job))) {
 			return;
 		}
 		this.draft.keep(Option.none());
 		Option<List<Allocation>> room = this.placer.roomToKeep(this.draft.fleet(), job.ask(), this::endsAt);
+		if (room.isEmpty()) {
+			this.draft.replanAnew();
+			room = this.placer.roomToKeep(this.draft.fleet(), job.ask(), this::endsAt);
+		}
 		room.forEach((allocations) -> this.draft.keep(Option.some(new KeptRoom(job.id(), allocations))));
 	}
 
-	private boolean stands(KeptRoom room) {
-		return room.allocations().stream().allMatch((allocation) -> this.draft.fleet().vm(allocation.vm()).usable());
+	/**
+	 * Whether kept room is still of use: its VMs take new work, and no block of another
+	 * team was moved over it.
+	 */
+	private boolean stands(KeptRoom room, Job job) {
+		String team = job.record().owner().teamId();
+		return room.allocations().stream().allMatch((allocation) -> this.draft.fleet().open(allocation, team));
 	}
 
 	private long endsAt(String jobId) {
--- a/src/main/java/org/citronrelay/internal/holder/EffectRunner.java
+++ b/src/main/java/org/citronrelay/internal/holder/EffectRunner.java
@@ -7,6 +7,7 @@
 
 import io.vavr.control.Either;
 import org.citronrelay.internal.gang.DomainEvent;
+import org.citronrelay.internal.gang.DomainEvent.StoreResult;
 import org.citronrelay.internal.gang.Effect;
 import org.citronrelay.internal.platform.WorkerTasks;
 import org.citronrelay.internal.platform.WorkerTasks.TaskReport;
@@ -66,12 +67,17 @@
 			case Effect.Command command -> new DomainEvent.Replied(command, watched(command(command)));
 			case Effect.Renew renew -> new DomainEvent.Renewed(renew.vm(), renew.sentAt(), watched(
 					this.workers.renew(renew.address(), this.epoch.getAsLong(), renew.tasks(), renew.leaseMs())));
-			case Effect.Store store -> new DomainEvent.Stored(store.record(),
-					this.jobs.replace(this.failureDomain, store.record(), store.revision()));
+			case Effect.Store store -> new DomainEvent.Stored(store.record(), store(store));
 			case Effect.Note _ -> new DomainEvent.Tick();
 		};
 	}
 
+	private StoreResult store(Effect.Store store) {
+		boolean mayAct = this.epoch.getAsLong() != NO_EPOCH;
+		return mayAct ? this.jobs.replace(this.failureDomain, store.record(), store.revision())
+				: new StoreResult.Unavailable("not the holder any more");
+	}
+
 	private Either<WorkerFailure, TaskReport> command(Effect.Command command) {
 		String task = command.member().task().toString();
 		return acting((current) -> switch (command) {
--- a/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
+++ b/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
@@ -98,7 +98,7 @@
 		this.failureDomain = failureDomain;
 		this.notes = notes;
 		this.caretaker = new Caretaker(workers, timings);
-		this.state = new AtomicReference<>(DomainState.empty(failureDomain, timings));
+		this.state = new AtomicReference<>(DomainState.empty(failureDomain, EffectRunner.NO_EPOCH, timings));
 	}
 
 	/**
@@ -219,21 +219,18 @@
 		this.events.clear();
 		this.tenancy.set(holding);
 		Part.HOLDER.logger().info("Holds {} with epoch {}.", this.failureDomain, holding.epoch());
-		List<DomainEvent> initial = new ArrayList<>();
-		initial.add(new DomainEvent.CatalogueSeen(this.sources.catalogue()));
-		initial.add(new DomainEvent.FleetSeen(this.sources.vms()));
-		initial.addAll(listing.get().records());
-		initial.addAll(fence.get().answers());
+		List<DomainEvent> initial = new ArrayList<>(Takeover.events(this.sources.catalogue(), this.sources.vms(),
+				listing.get().records(), fence.get().answers()));
 		EffectRunner runner = new EffectRunner(this.workers, this.jobs, this.failureDomain, this.executor, this::tell,
 				this::actingEpoch, this.notes, this::staleEpoch);
 		this.executor.execute(() -> renewLease(holding.lease()));
 		this.executor.execute(() -> watchJobs(holding.lease(), listing.get().revision()));
-		decideWhileHolding(runner, initial);
+		decideWhileHolding(runner, initial, holding.epoch());
 		Part.HOLDER.logger().info("Does not hold {} any more.", this.failureDomain);
 	}
 
-	private void decideWhileHolding(EffectRunner runner, List<DomainEvent> initial) {
-		DomainState current = DomainState.empty(this.failureDomain, this.timings);
+	private void decideWhileHolding(EffectRunner runner, List<DomainEvent> initial, long epoch) {
+		DomainState current = DomainState.empty(this.failureDomain, epoch, this.timings);
 		List<DomainEvent> batch = initial;
 		long nextTick = this.ticker.millis();
 		while (!this.closing && holds()) {
@@ -248,7 +245,7 @@
 			decision.effects().forEach(runner::run);
 			batch = nextBatch(nextTick - now);
 		}
-		this.state.set(DomainState.empty(this.failureDomain, this.timings));
+		this.state.set(DomainState.empty(this.failureDomain, EffectRunner.NO_EPOCH, this.timings));
 	}
 
 	private List<DomainEvent> nextBatch(long waitMs) {
--- a/src/main/java/org/citronrelay/internal/placement/Choice.java
+++ b/src/main/java/org/citronrelay/internal/placement/Choice.java
@@ -26,7 +26,8 @@
 	 */
 	public List<Holding> holdings(Ask ask) {
 		return this.allocations.stream()
-			.map((allocation) -> new Holding(ask.job(), ask.team(), allocation, ask.reclaimable(), this.tenure))
+			.map((allocation) -> new Holding(ask.job(), ask.team(), allocation, ask.reclaimable(), ask.urgent(),
+					this.tenure))
 			.toList();
 	}
 
--- a/src/main/java/org/citronrelay/internal/placement/Fleet.java
+++ b/src/main/java/org/citronrelay/internal/placement/Fleet.java
@@ -80,6 +80,14 @@
 		return this.vms[index].listed();
 	}
 
+	/**
+	 * Whether a VM takes new work and no other team's block lies over the room.
+	 */
+	public boolean open(Allocation allocation, String team) {
+		VmState vm = this.vms[allocation.vm()];
+		return vm.usable() && (vm.setAside() & ~vm.setAsideFor(team) & allocation.mask()) == 0;
+	}
+
 	/**
 	 * The indexes of the VMs, rack by rack.
 	 */
--- a/src/main/java/org/citronrelay/internal/placement/GuaranteePlanner.java
+++ b/src/main/java/org/citronrelay/internal/placement/GuaranteePlanner.java
@@ -137,10 +137,15 @@
 		return sum;
 	}
 
+	/**
+	 * Whether a block can stay: its VMs are usable and no other team's work that cannot
+	 * be reclaimed lies in it, as when another holder has placed it under another plan.
+	 */
 	private static boolean stands(Fleet fleet, Block block, Wanted want) {
-		return block.shape().equals(want.shape()) && block.allocations()
-			.stream()
-			.allMatch((allocation) -> allocation.vm() < fleet.size() && fleet.vm(allocation.vm()).usable());
+		return block.shape().equals(want.shape()) && block.allocations().stream().allMatch((allocation) -> {
+			boolean known = allocation.vm() < fleet.size() && fleet.vm(allocation.vm()).usable();
+			return known && (fleet.vm(allocation.vm()).heldForGoodByOthers(want.team()) & allocation.mask()) == 0;
+		});
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/placement/Holding.java
+++ b/src/main/java/org/citronrelay/internal/placement/Holding.java
@@ -9,9 +9,11 @@
  * @param team the id of its team
  * @param allocation the room
  * @param reclaimable whether the job can be told to give it back
+ * @param urgent whether it is urgent, and yields to no other work of its team
  * @param tenure under which right it is held
  */
-public record Holding(String job, String team, Allocation allocation, boolean reclaimable, Tenure tenure) {
+public record Holding(String job, String team, Allocation allocation, boolean reclaimable, boolean urgent,
+		Tenure tenure) {
 
 	public Holding {
 		Objects.requireNonNull(job, "job");
@@ -21,7 +23,7 @@
 	}
 
 	Holding withTenure(Tenure newTenure) {
-		return new Holding(this.job, this.team, this.allocation, this.reclaimable, newTenure);
+		return new Holding(this.job, this.team, this.allocation, this.reclaimable, this.urgent, newTenure);
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/placement/Placer.java
+++ b/src/main/java/org/citronrelay/internal/placement/Placer.java
@@ -105,7 +105,7 @@
 				bestScore = score;
 			}
 		}
-		return Option.of(best).map((fit) -> new Choice(fit, tenure(fleet, room, fit), victims(fleet, room, fit)));
+		return Option.of(best).map((fit) -> new Choice(fit, tenure(room), victims(fleet, room, fit)));
 	}
 
 	/**
@@ -158,20 +158,14 @@
 		}
 	}
 
-	private static Tenure tenure(Fleet fleet, Room room, List<Allocation> allocations) {
+	private static Tenure tenure(Room room) {
 		return switch (room) {
 			case Room.OwnIdle _, Room.OwnReclaimed _ -> Tenure.GUARANTEED;
-			case Room.Common _ -> Tenure.COMMON;
-			case Room.Kept _ -> touchesBlock(fleet, allocations) ? Tenure.BORROWED : Tenure.COMMON;
+			case Room.Common _, Room.Kept _ -> Tenure.COMMON;
 			case Room.Borrowed _, Room.Eventual _, Room.SetAside _ -> Tenure.BORROWED;
 		};
 	}
 
-	private static boolean touchesBlock(Fleet fleet, List<Allocation> allocations) {
-		return allocations.stream()
-			.anyMatch((allocation) -> (fleet.vm(allocation.vm()).setAside() & allocation.mask()) != 0);
-	}
-
 	private static long freeAt(Fleet fleet, List<Allocation> allocations, ToLongFunction<String> endsAt) {
 		long latest = Long.MIN_VALUE;
 		for (Allocation allocation : allocations) {
--- a/src/main/java/org/citronrelay/internal/placement/Room.java
+++ b/src/main/java/org/citronrelay/internal/placement/Room.java
@@ -20,9 +20,9 @@
 			case Common _ -> vm.all() & ~vm.held() & ~vm.setAside() & ~vm.kept();
 			case Borrowed _ -> vm.all() & ~vm.held();
 			case OwnReclaimed own -> vm.setAsideFor(own.team()) & ~heldFor(vm, own);
-			case Kept _ -> vm.kept() & ~heldFirmly(vm);
+			case Kept kept -> vm.kept() & ~heldFirmly(vm) & ~(vm.setAside() & ~vm.setAsideFor(kept.team()));
 			case Eventual eventual -> vm.all() & ~(vm.setAside() & ~vm.setAsideFor(eventual.team()));
-			case SetAside setAside -> vm.all() & ~vm.setAside() & ~heldByOthers(vm, setAside.team());
+			case SetAside setAside -> vm.all() & ~vm.setAside() & ~vm.heldForGoodByOthers(setAside.team());
 		};
 	}
 
@@ -58,12 +58,21 @@
 	default boolean yields(Holding holding) {
 		return switch (this) {
 			case OwnIdle _, Common _, Borrowed _, Eventual _, SetAside _ -> false;
-			case OwnReclaimed own -> holding.reclaimable() && (holding.tenure() == Tenure.BORROWED
-					|| (own.urgent() && holding.team().equals(own.team()) && holding.tenure() == Tenure.GUARANTEED));
+			case OwnReclaimed own -> holding.reclaimable()
+					&& (holding.tenure() == Tenure.BORROWED || (own.urgent() && yieldsToUrgent(holding, own.team())));
 			case Kept _ -> holding.reclaimable() && holding.tenure() == Tenure.BORROWED;
 		};
 	}
 
+	/**
+	 * Whether guaranteed work of a team yields to urgent work of the same team. Urgent
+	 * work never does: two urgent jobs would reclaim each other for ever.
+	 */
+	private static boolean yieldsToUrgent(Holding holding, String team) {
+		return holding.reclaimable() && !holding.urgent() && holding.team().equals(team)
+				&& holding.tenure() == Tenure.GUARANTEED;
+	}
+
 	private static int reserved(VmState vm, Resource resource) {
 		return vm.parts().stream().mapToInt((part) -> resource.of(part.allocation())).sum();
 	}
@@ -79,8 +88,7 @@
 	private static int yielding(VmState vm, Resource resource, String team) {
 		return vm.holdings()
 			.stream()
-			.filter((holding) -> holding.reclaimable() && holding.team().equals(team)
-					&& holding.tenure() == Tenure.GUARANTEED)
+			.filter((holding) -> yieldsToUrgent(holding, team))
 			.mapToInt((holding) -> resource.of(holding.allocation()))
 			.sum();
 	}
@@ -102,16 +110,6 @@
 		return mask;
 	}
 
-	private static long heldByOthers(VmState vm, String team) {
-		long mask = 0;
-		for (Holding holding : vm.holdings()) {
-			boolean harmless = holding.team().equals(team)
-					|| (holding.reclaimable() && holding.tenure() != Tenure.GUARANTEED);
-			mask |= harmless ? 0 : holding.allocation().mask();
-		}
-		return mask;
-	}
-
 	/**
 	 * Idle room in the team's own blocks.
 	 *
--- a/src/main/java/org/citronrelay/internal/placement/VmState.java
+++ b/src/main/java/org/citronrelay/internal/placement/VmState.java
@@ -47,6 +47,19 @@
 		return mask;
 	}
 
+	/**
+	 * The accelerators held by other teams that they cannot be told to give back.
+	 */
+	long heldForGoodByOthers(String team) {
+		long mask = 0;
+		for (Holding holding : this.holdings) {
+			boolean harmless = holding.team().equals(team)
+					|| (holding.reclaimable() && holding.tenure() != Tenure.GUARANTEED);
+			mask |= harmless ? 0 : holding.allocation().mask();
+		}
+		return mask;
+	}
+
 	/**
 	 * The accelerators set aside for a team.
 	 */
--- a/src/main/java/org/citronrelay/internal/standin/KvStore.java
+++ b/src/main/java/org/citronrelay/internal/standin/KvStore.java
@@ -16,7 +16,7 @@
 /**
  * The state of the stand-in key-value service. Guarded by its own lock.
  */
-final class KvStore {
+public final class KvStore {
 
 	private static final int KEPT_CHANGES = 20_000;
 
@@ -32,12 +32,12 @@
 
 	private Backup backup;
 
-	synchronized Option<KvEntry> read(String key, long now) {
+	public synchronized Option<KvEntry> read(String key, long now) {
 		expire(now);
 		return Option.of(this.values.get(key)).map((stored) -> stored.entry(key));
 	}
 
-	synchronized KvSnapshot list(String prefix, long now) {
+	public synchronized KvSnapshot list(String prefix, long now) {
 		expire(now);
 		List<KvEntry> entries = new ArrayList<>();
 		this.values.tailMap(prefix)
@@ -48,8 +48,8 @@
 		return new KvSnapshot(entries, List.of(), this.revision);
 	}
 
-	synchronized Either<KvFailure, KvEntry> write(String key, byte[] value, Expectation expectation, String lease,
-			long now) {
+	public synchronized Either<KvFailure, KvEntry> write(String key, byte[] value, Expectation expectation,
+			String lease, long now) {
 		expire(now);
 		if (!lease.isEmpty() && !this.leases.containsKey(lease)) {
 			return Either.left(new KvFailure.Unavailable("no lease " + lease));
@@ -65,7 +65,7 @@
 		return Either.right(stored.entry(key));
 	}
 
-	synchronized Either<KvFailure, Boolean> delete(String key, long expected, long now) {
+	public synchronized Either<KvFailure, Boolean> delete(String key, long expected, long now) {
 		expire(now);
 		Stored stored = this.values.get(key);
 		if (stored == null) {
@@ -78,13 +78,13 @@
 		return Either.right(true);
 	}
 
-	synchronized String grant(long ttlMs, long now) {
+	public synchronized String grant(long ttlMs, long now) {
 		String lease = "lease-" + this.nextLease++;
 		this.leases.put(lease, new LeaseState(ttlMs, now + ttlMs));
 		return lease;
 	}
 
-	synchronized boolean renew(String lease, long now) {
+	public synchronized boolean renew(String lease, long now) {
 		expire(now);
 		LeaseState state = this.leases.get(lease);
 		if (state == null) {
@@ -94,7 +94,7 @@
 		return true;
 	}
 
-	synchronized boolean revoke(String lease, long now) {
+	public synchronized boolean revoke(String lease, long now) {
 		expire(now);
 		boolean alive = this.leases.remove(lease) != null;
 		dropValuesOf(lease);
@@ -104,7 +104,7 @@
 	/**
 	 * The changes under a prefix after a revision, empty when there are none.
 	 */
-	synchronized KvSnapshot changes(String prefix, long after, long now) {
+	public synchronized KvSnapshot changes(String prefix, long after, long now) {
 		expire(now);
 		TreeMap<String, Boolean> keys = new TreeMap<>();
 		for (Change change : this.changes.reversed()) {
@@ -128,14 +128,14 @@
 	/**
 	 * Keeps a copy to be restored later.
 	 */
-	synchronized void backUp() {
+	public synchronized void backUp() {
 		this.backup = new Backup(new TreeMap<>(this.values), new ArrayList<>(this.changes), this.revision);
 	}
 
 	/**
 	 * Goes back to the copy, with its older revision; leases granted since are gone.
 	 */
-	synchronized boolean restore() {
+	public synchronized boolean restore() {
 		if (this.backup == null) {
 			return false;
 		}
--- a/src/main/java/org/citronrelay/internal/standin/RunLog.java
+++ b/src/main/java/org/citronrelay/internal/standin/RunLog.java
@@ -13,7 +13,10 @@
 
 	private final List<Event> events = new ArrayList<>();
 
-	synchronized void add(String kind, String id, long at) {
+	/**
+	 * Adds an event.
+	 */
+	public synchronized void add(String kind, String id, long at) {
 		this.events.add(new Event(kind, id, at));
 	}
 
--- a/src/main/java/org/citronrelay/internal/standin/TaskTable.java
+++ b/src/main/java/org/citronrelay/internal/standin/TaskTable.java
@@ -17,7 +17,7 @@
  * The tasks of one stand-in worker: reservations, leases, epochs, progress. Guarded by
  * its own lock.
  */
-final class TaskTable {
+public final class TaskTable {
 
 	private static final long KEPT_AFTER_END_MS = 60_000;
 
@@ -35,17 +35,17 @@
 	 * Creates the table.
 	 * @param timeScale the share of the declared run time that tasks truly take
 	 */
-	TaskTable(int accelerators, double timeScale, RunLog log) {
+	public TaskTable(int accelerators, double timeScale, RunLog log) {
 		this.accelerators = accelerators;
 		this.timeScale = timeScale;
 		this.log = log;
 	}
 
-	synchronized Either<WorkerFailure, List<TaskReport>> fence(long newEpoch, long now) {
+	public synchronized Either<WorkerFailure, List<TaskReport>> fence(long newEpoch, long now) {
 		return admitted(newEpoch, now).map((admitted) -> reports());
 	}
 
-	synchronized Either<WorkerFailure, TaskReport> reserve(long holderEpoch, Reservation wanted, boolean refuses,
+	public synchronized Either<WorkerFailure, TaskReport> reserve(long holderEpoch, Reservation wanted, boolean refuses,
 			long now) {
 		return admitted(holderEpoch, now).flatMap((admitted) -> {
 			Task known = this.tasks.get(wanted.task());
@@ -65,7 +65,8 @@
 		});
 	}
 
-	synchronized Either<WorkerFailure, TaskReport> start(long holderEpoch, String id, boolean failsAll, long now) {
+	public synchronized Either<WorkerFailure, TaskReport> start(long holderEpoch, String id, boolean failsAll,
+			long now) {
 		return admitted(holderEpoch, now).flatMap((admitted) -> {
 			Task task = this.tasks.get(id);
 			if (task == null) {
@@ -81,7 +82,7 @@
 		});
 	}
 
-	synchronized Either<WorkerFailure, List<TaskReport>> renew(long holderEpoch, List<String> ids, long leaseMs,
+	public synchronized Either<WorkerFailure, List<TaskReport>> renew(long holderEpoch, List<String> ids, long leaseMs,
 			long now) {
 		return admitted(holderEpoch, now).map((admitted) -> {
 			ids.stream()
@@ -92,7 +93,8 @@
 		});
 	}
 
-	synchronized Either<WorkerFailure, TaskReport> end(long holderEpoch, String id, boolean checkpoint, long now) {
+	public synchronized Either<WorkerFailure, TaskReport> end(long holderEpoch, String id, boolean checkpoint,
+			long now) {
 		return admitted(holderEpoch, now).flatMap((admitted) -> {
 			Task task = this.tasks.get(id);
 			if (task == null) {
@@ -108,11 +110,19 @@
 		});
 	}
 
-	synchronized int running(long now) {
+	public synchronized int running(long now) {
 		advance(now);
 		return (int) this.tasks.values().stream().filter((task) -> task.state == TaskState.RUNNING).count();
 	}
 
+	/**
+	 * Ends everything at once, as when the VM fails.
+	 */
+	public synchronized void lose(long now) {
+		advance(now);
+		this.tasks.values().stream().filter(Task::live).forEach((task) -> finish(task, TaskState.STOPPED, now));
+	}
+
 	private Either<WorkerFailure, Long> admitted(long holderEpoch, long now) {
 		advance(now);
 		if (holderEpoch < this.epoch) {
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/claim/ClaimDeskTests.java
@@ -0,0 +1,291 @@
+package org.citronrelay.internal.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vavr.control.Option;
+import org.citronrelay.Outcome;
+import org.citronrelay.Outcome.NotRunCause;
+import org.citronrelay.internal.claim.ClaimDesk.ClaimPeers;
+import org.citronrelay.internal.standin.KvStore;
+import org.citronrelay.internal.time.Pause;
+import org.citronrelay.internal.time.Ticker;
+import org.citronrelay.testing.FaultyKv;
+import org.citronrelay.testing.Fixtures;
+import org.citronrelay.testing.OnceHistory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Claims of keys by several entry processes at once, with lost replies, outages, entry
+ * processes that die, and a key-value service that goes back to an older copy.
+ */
+class ClaimDeskTests {
+
+	private static final int CALLERS = 12;
+
+	private static final int KEYS = 4;
+
+	private static final long DEADLINE_MS = 2_000;
+
+	private final KvStore store = new KvStore();
+
+	private final Ticker ticker = Ticker.system();
+
+	static List<Long> seeds() {
+		return Fixtures.seeds(200);
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void aKeyRunsAtMostOnceAndNotRunIsTrue(long seed) throws Exception {
+		// given
+		SplittableRandom random = new SplittableRandom(seed);
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(seed + 1));
+		kv.loseReplies(random.nextDouble() * 0.6);
+		Network network = new Network();
+		List<ClaimDesk> desks = new ArrayList<>();
+		for (int entry = 0; entry < 3; entry++) {
+			desks.add(network.add("entry-" + entry, kv));
+		}
+		OnceHistory history = new OnceHistory();
+
+		// when
+		try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
+			List<Future<?>> calls = new ArrayList<>();
+			for (int call = 0; call < CALLERS * 2; call++) {
+				SplittableRandom own = random.split();
+				calls.add(callers.submit(() -> call(own, desks, kv, network, history)));
+			}
+			for (Future<?> call : calls) {
+				call.get();
+			}
+		}
+
+		// then
+		assertThat(history.judge()).isEmpty();
+	}
+
+	@Test
+	void theSameKeyGivesTheSameAnswerAtEveryEntryProcess() {
+		// given
+		Network network = new Network();
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk first = network.add("first", kv);
+		ClaimDesk second = network.add("second", kv);
+		AtomicInteger runs = new AtomicInteger();
+
+		// when
+		Outcome answer = first.runOnce("key", "digest", deadline(), () -> done(runs.incrementAndGet()));
+		Outcome again = second.runOnce("key", "digest", deadline(), () -> done(runs.incrementAndGet()));
+
+		// then
+		assertThat(runs).hasValue(1);
+		assertThat(((Outcome.Done) again).body()).isEqualTo(((Outcome.Done) answer).body());
+	}
+
+	@Test
+	void aKeyUsedForAnotherBodyIsRefused() {
+		// given
+		Network network = new Network();
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk first = network.add("first", kv);
+		ClaimDesk second = network.add("second", kv);
+		first.runOnce("key", "digest", deadline(), () -> done(1));
+
+		// when
+		Outcome other = second.runOnce("key", "another digest", deadline(), () -> done(2));
+
+		// then
+		assertThat(other).isInstanceOfSatisfying(Outcome.NotRun.class,
+				(notRun) -> assertThat(notRun.cause()).isEqualTo(NotRunCause.KEY_REUSED));
+	}
+
+	@Test
+	void aKeyWhoseEntryProcessDiedIsUnknownAndNeverRunsAgain() {
+		// given
+		Network network = new Network();
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk first = network.add("first", kv);
+		ClaimDesk second = network.add("second", kv);
+		network.copies = false;
+		first.runOnce("key", "digest", deadline(), () -> done(1));
+		network.kill("first");
+		AtomicInteger runs = new AtomicInteger();
+
+		// when
+		Outcome again = second.runOnce("key", "digest", deadline(), () -> done(runs.incrementAndGet()));
+
+		// then
+		assertThat(again).isInstanceOf(Outcome.Unknown.class);
+		assertThat(runs).hasValue(0);
+	}
+
+	@Test
+	void inAnOutageOfThePlatformNothingIsRun() {
+		// given
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk desk = new Network().add("only", kv);
+		kv.down(true);
+		AtomicInteger runs = new AtomicInteger();
+
+		// when
+		Outcome outcome = desk.runOnce("key", "digest", deadline(), () -> done(runs.incrementAndGet()));
+
+		// then
+		assertThat(outcome).isInstanceOfSatisfying(Outcome.NotRun.class,
+				(notRun) -> assertThat(notRun.cause()).isEqualTo(NotRunCause.PLATFORM));
+		assertThat(runs).hasValue(0);
+	}
+
+	@Test
+	void aKeyDoesNotRunAgainAfterThePlatformWentBackToAnOlderCopy() {
+		// given
+		Network network = new Network();
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk first = network.add("first", kv);
+		ClaimDesk second = network.add("second", kv);
+		second.runOnce("warm-up", "digest", deadline(), () -> done(0));
+		this.store.backUp();
+		first.runOnce("key", "digest", deadline(), () -> done(1));
+		second.runOnce("later", "digest", deadline(), () -> done(2));
+		this.store.restore();
+		AtomicInteger runs = new AtomicInteger();
+
+		// when
+		Outcome again = second.runOnce("key", "digest", deadline(), () -> done(runs.incrementAndGet()));
+
+		// then
+		assertThat(runs).hasValue(0);
+		assertThat(again).isInstanceOf(Outcome.Done.class);
+	}
+
+	@Test
+	void aRequestCostsOneWriteOnceTheLeaseIsThere() {
+		// given
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk desk = new Network().add("only", kv);
+		desk.runOnce("first", "digest", deadline(), () -> done(0));
+		int before = kv.writes();
+
+		// when
+		for (int number = 0; number < 100; number++) {
+			desk.runOnce("key-" + number, "digest", deadline(), () -> done(1));
+		}
+
+		// then
+		assertThat(kv.writes() - before).isEqualTo(100);
+	}
+
+	private void call(SplittableRandom random, List<ClaimDesk> desks, FaultyKv kv, Network network,
+			OnceHistory history) {
+		int entry = random.nextInt(desks.size());
+		String key = "key-" + random.nextInt(KEYS);
+		switch (random.nextInt(10)) {
+			case 0 -> kv.down(true);
+			case 1 -> network.kill("entry-" + random.nextInt(desks.size()));
+			default -> kv.down(false);
+		}
+		int call = history.invoke(key);
+		Outcome outcome = desks.get(entry).runOnce(key, "digest", this.ticker.millis() + DEADLINE_MS, () -> {
+			history.ran(key, call);
+			Pause.millis(random.nextInt(3));
+			return (random.nextInt(4) == 0) ? new Outcome.Unknown("lost") : done(call);
+		});
+		history.returned(key, call, outcome);
+	}
+
+	private long deadline() {
+		return this.ticker.millis() + DEADLINE_MS;
+	}
+
+	private static Outcome done(int number) {
+		return new Outcome.Done(200, Map.of(), new byte[] { (byte) number });
+	}
+
+	/**
+	 * The links between the entry processes of a test.
+	 */
+	private final class Network {
+
+		private final Map<String, ClaimDesk> desks = new ConcurrentHashMap<>();
+
+		private final Map<String, OutcomeLedger> ledgers = new ConcurrentHashMap<>();
+
+		private volatile boolean copies = true;
+
+		ClaimDesk add(String process, FaultyKv kv) {
+			OutcomeLedger ledger = new OutcomeLedger(1_000_000);
+			ClaimDesk desk = new ClaimDesk(kv, ledger, new Links(process), ClaimDeskTests.this.ticker, process);
+			this.desks.put(process, desk);
+			this.ledgers.put(process, ledger);
+			return desk;
+		}
+
+		/**
+		 * Makes a process unreachable for its peers.
+		 */
+		void kill(String process) {
+			this.desks.remove(process);
+			this.ledgers.remove(process);
+		}
+
+		private final class Links implements ClaimPeers {
+
+			private final String self;
+
+			Links(String self) {
+				this.self = self;
+			}
+
+			@Override
+			public Outcome outcome(String key, Claim claim, long waitMs) {
+				ClaimDesk owner = Network.this.desks.get(claim.process());
+				if (owner != null) {
+					return owner.answerPeer(claim.id(), ClaimDeskTests.this.ticker.millis() + waitMs);
+				}
+				return Network.this.desks.values()
+					.stream()
+					.map((desk) -> desk.answerPeer(claim.id(), 0))
+					.filter((outcome) -> !(outcome instanceof Outcome.Unknown))
+					.findFirst()
+					.orElse(new Outcome.Unknown("cannot be asked"));
+			}
+
+			@Override
+			public void copy(String key, Claim claim, Outcome outcome) {
+				if (Network.this.copies) {
+					Network.this.ledgers.forEach((process, ledger) -> {
+						if (!process.equals(this.self)) {
+							ledger.close(key, claim, outcome);
+						}
+					});
+				}
+			}
+
+			@Override
+			public Option<Claim> claimOf(String key) {
+				return Option.ofOptional(Network.this.ledgers.entrySet()
+					.stream()
+					.filter((ledger) -> !ledger.getKey().equals(this.self))
+					.flatMap((ledger) -> ledger.getValue().latest(key).toJavaStream())
+					.filter((line) -> !line.surelyNotRun())
+					.map(OutcomeLedger.Line::claim)
+					.findFirst());
+			}
+
+		}
+
+	}
+
+}
