Measure the decisions, the path and the slopes; mend what the benches found

Cause, found by bin/bench: - a claim was taken for a sign of a restored store whenever two writes of one process were answered out of order, and all claims were stored again: 3.17 writes a once-only request; it now compares with the newest revision seen before the write was sent; - each arriving job walked the whole queue: the run over 1,000 workers did not end within 75 s; only arrivals are tried where no room was freed, and jobs that are alike are tried once; - a time difference against the least long overflowed: the stand-in's rate limit never opened a new window (3,579 of 4,000 answers were 429), and a holder past its confirmed time never asked for its lease before an effect; - a write under a lease that is gone was not told from an outage.

--- a/src/launcher/citronrelay.sh
+++ b/src/launcher/citronrelay.sh
@@ -18,9 +18,15 @@
 fi
 # An entry process and the operators' tools are small; the tools that hold many processes in one are not.
 heap=48m
+compiler=-XX:TieredStopAtLevel=1
+cache=16m
 case ${1:-} in
-demo | bench | load) heap=1g ;;
+demo | bench)
+	heap=1g
+	compiler=-XX:+TieredCompilation
+	cache=64m
+	;;
 esac
-exec "$java" --sun-misc-unsafe-memory-access=allow -XX:-UsePerfData -XX:+UseSerialGC -XX:+UseCompactObjectHeaders -XX:TieredStopAtLevel=1 -Xss256k \
-	-XX:ReservedCodeCacheSize=16m -Xmx$heap ${CITRONRELAY_JAVA_OPTS:-} -jar "$0" "$@"
+exec "$java" --sun-misc-unsafe-memory-access=allow -XX:-UsePerfData -XX:+UseSerialGC -XX:+UseCompactObjectHeaders "$compiler" -Xss256k \
+	-XX:ReservedCodeCacheSize=$cache -Xmx$heap ${CITRONRELAY_JAVA_OPTS:-} -jar "$0" "$@"
 exit 127
--- a/src/main/java/org/citronrelay/internal/claim/ClaimDesk.java
+++ b/src/main/java/org/citronrelay/internal/claim/ClaimDesk.java
@@ -31,6 +31,11 @@
 
 	private static final int WRITE_ATTEMPTS = 2;
 
+	/**
+	 * Long ago, and far enough from the least number that differences do not overflow.
+	 */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final KeyValueService kv;
 
 	private final OutcomeLedger ledger;
@@ -45,7 +50,7 @@
 
 	private final AtomicLong newestRevision = new AtomicLong();
 
-	private final AtomicLong restoredAt = new AtomicLong(Long.MIN_VALUE);
+	private final AtomicLong restoredAt = new AtomicLong(NEVER);
 
 	public ClaimDesk(KeyValueService kv, OutcomeLedger ledger, ClaimPeers peers, Ticker ticker, String process) {
 		this.kv = kv;
@@ -146,38 +151,47 @@
 	}
 
 	private Claimed claim(String key, Claim mine, Expectation expectation) {
-		long now = this.ticker.millis();
-		Either<KvFailure, String> granted = this.lease.current(now);
-		if (granted.isLeft()) {
-			return notClaimed(granted.getLeft());
-		}
-		Either<KvFailure, KvEntry> written = this.kv.write(key, mine.bytes(), expectation, granted.get());
-		for (int attempt = 1; attempt < WRITE_ATTEMPTS && written.isLeft()
-				&& written.getLeft() instanceof KvFailure.Unavailable; attempt++) {
-			this.lease.lost(granted.get());
-			granted = this.lease.current(now);
+		Either<KvFailure, KvEntry> written = Either.left(new KvFailure.Unavailable("not tried"));
+		for (int attempt = 0; attempt < WRITE_ATTEMPTS; attempt++) {
+			Either<KvFailure, String> granted = this.lease.current(this.ticker.millis());
 			if (granted.isLeft()) {
 				return notClaimed(granted.getLeft());
 			}
+			long newestBefore = this.newestRevision.get();
 			written = this.kv.write(key, mine.bytes(), expectation, granted.get());
+			if (written.isRight()) {
+				return confirm(key, mine, written.get(), newestBefore);
+			}
+			if (!(written.getLeft() instanceof KvFailure.LeaseGone)) {
+				break;
+			}
+			this.lease.lost(granted.get());
 		}
-		return written.fold((failure) -> resolve(key, mine, failure), (entry) -> confirm(key, mine, entry));
+		return resolve(key, mine, written.getLeft());
 	}
 
-	private Claimed confirm(String key, Claim mine, KvEntry entry) {
-		long newest = this.newestRevision.getAndAccumulate(entry.revision(), Math::max);
-		if (entry.revision() < newest) {
+	/**
+	 * Takes a claim that was stored. A revision that is not newer than one seen before
+	 * the write was sent shows that the service went back to an older copy; then peers
+	 * may know a claim that the service has forgotten.
+	 */
+	private Claimed confirm(String key, Claim mine, KvEntry entry, long newestBefore) {
+		if (entry.revision() <= newestBefore) {
 			this.newestRevision.set(entry.revision());
 			restoreClaims(this.ticker.millis());
 		}
-		if (this.ticker.millis() - this.restoredAt.get() < ClaimLease.KEPT_MS
-				&& this.restoredAt.get() != Long.MIN_VALUE) {
-			return this.peers.claimOf(key)
-				.filter((other) -> !other.id().equals(mine.id()))
-				.<Claimed>map((other) -> new Claimed.Other(other, entry.revision()))
-				.getOrElse(new Claimed.Mine());
+		this.newestRevision.accumulateAndGet(entry.revision(), Math::max);
+		if (!recentlyRestored()) {
+			return new Claimed.Mine();
 		}
-		return new Claimed.Mine();
+		return this.peers.claimOf(key)
+			.filter((other) -> !other.id().equals(mine.id()))
+			.<Claimed>map((other) -> new Claimed.Other(other, entry.revision()))
+			.getOrElse(new Claimed.Mine());
+	}
+
+	private boolean recentlyRestored() {
+		return this.ticker.millis() - this.restoredAt.get() < ClaimLease.KEPT_MS;
 	}
 
 	private Claimed resolve(String key, Claim mine, KvFailure failure) {
@@ -185,7 +199,7 @@
 			case KvFailure.Conflict conflict -> conflict.current()
 				.map((entry) -> owned(mine, entry))
 				.getOrElse(() -> notClaimed(new KvFailure.Unavailable("the claim went away")));
-			case KvFailure.Unavailable _ -> notClaimed(failure);
+			case KvFailure.Unavailable _, KvFailure.LeaseGone _ -> notClaimed(failure);
 			case KvFailure.Ambiguous _ -> this.kv.read(key)
 				.fold(this::notClaimed,
 						(stored) -> stored.map((entry) -> owned(mine, entry)).getOrElse(() -> notClaimed(failure)));
--- a/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
@@ -11,6 +11,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.citronrelay.Findings;
+import org.citronrelay.internal.bench.Bench;
 import org.citronrelay.internal.demo.Demo;
 import org.citronrelay.internal.entry.EntryProcess;
 import org.citronrelay.internal.logging.LogSetup;
@@ -48,6 +49,8 @@
 						new Options().addOption(
 								Flags.optional(EXAMPLES, "FOLDER", "Where the examples are, examples by standard.")),
 						this::demo),
+				new Command("bench", "GROUP", "Runs the benchmarks of a group: decisions, path or capacity.",
+						new Options(), this::bench),
 				new Command("version", "", "Prints the version.", new Options(), this::version));
 	}
 
@@ -111,6 +114,15 @@
 		return new Demo(Path.of(line.getOptionValue(EXAMPLES, EXAMPLES)), example, this.out).run();
 	}
 
+	private int bench(CommandLine line) throws UsageException {
+		LogSetup.level("ERROR");
+		String group = Flags.only(line, "the name of a group");
+		if (!new Bench(this.out).run(group)) {
+			throw new UsageException("there is no group \"" + group + "\".", "Give decisions, path or capacity.");
+		}
+		return 0;
+	}
+
 	private int version(CommandLine line) {
 		String version = Program.class.getPackage().getImplementationVersion();
 		this.out.println("citronrelay " + ((version != null) ? version : "unpackaged"));
--- a/src/main/java/org/citronrelay/internal/gang/DomainDraft.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainDraft.java
@@ -1,6 +1,7 @@
 package org.citronrelay.internal.gang;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 
 import io.vavr.collection.Map;
@@ -45,7 +46,9 @@
 
 	private long nextRenewAt;
 
-	private boolean roomChanged;
+	private boolean roomFreed;
+
+	private final java.util.Set<String> arrived = new HashSet<>();
 
 	private boolean planStale;
 
@@ -118,8 +121,18 @@
 		this.nextRenewAt = at;
 	}
 
-	boolean roomChanged() {
-		return this.roomChanged;
+	/**
+	 * Whether jobs that wait may find room that they did not find before.
+	 */
+	boolean roomFreed() {
+		return this.roomFreed;
+	}
+
+	/**
+	 * The jobs that have begun to wait in this decision.
+	 */
+	java.util.Set<String> arrived() {
+		return java.util.Set.copyOf(this.arrived);
 	}
 
 	void emit(Effect effect) {
@@ -136,7 +149,9 @@
 
 	void put(Job job) {
 		this.jobs = this.jobs.put(job.id(), job);
-		this.roomChanged |= job.phase() instanceof JobPhase.Queued;
+		if (job.phase() instanceof JobPhase.Queued) {
+			this.arrived.add(job.id());
+		}
 	}
 
 	void remove(String id) {
@@ -152,13 +167,13 @@
 
 	void release(Job job, Choice choice) {
 		this.fleet = this.fleet.minus(job.id(), choice.allocations());
-		this.roomChanged = true;
+		this.roomFreed = true;
 	}
 
 	void keep(Option<KeptRoom> room) {
 		this.kept = room;
 		this.fleet = this.fleet.withKept(room.map(KeptRoom::allocations).getOrElse(List.of()));
-		this.roomChanged = true;
+		this.roomFreed = true;
 	}
 
 	void learned(Estimates newEstimates) {
@@ -226,7 +241,7 @@
 	 * Asks for a walk through the queue at the end of the decision.
 	 */
 	void tryQueue() {
-		this.roomChanged = true;
+		this.roomFreed = true;
 	}
 
 	/**
@@ -259,7 +274,7 @@
 				GuaranteePlanner.wanted(this.catalogue, this.before.failureDomain()));
 		this.plan = next;
 		this.fleet = this.fleet.withBlocks(next.blocks());
-		this.roomChanged = true;
+		this.roomFreed = true;
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
@@ -34,8 +34,12 @@
 		DomainScheduler scheduler = new DomainScheduler(state, now);
 		events.forEach(scheduler::take);
 		scheduler.draft.replan();
-		if (scheduler.draft.roomChanged()) {
-			new QueuePass(scheduler.draft, scheduler.steps).run();
+		QueuePass pass = new QueuePass(scheduler.draft, scheduler.steps);
+		if (scheduler.draft.roomFreed()) {
+			pass.all();
+		}
+		else if (!scheduler.draft.arrived().isEmpty()) {
+			pass.arrived();
 		}
 		return scheduler.draft.decision();
 	}
--- a/src/main/java/org/citronrelay/internal/gang/QueuePass.java
+++ b/src/main/java/org/citronrelay/internal/gang/QueuePass.java
@@ -45,30 +45,27 @@
 
 	private final Map<String, Integer> heldByTeam = new HashMap<>();
 
+	private final Set<Ask> refused = new HashSet<>();
+
+	private final Set<String> teamsWithBlocks = new HashSet<>();
+
 	QueuePass(DomainDraft draft, GangSteps steps) {
 		this.draft = draft;
 		this.steps = steps;
 		this.placer = new Placer(strategy(), lostWork());
+		draft.plan().blocks().forEach((block) -> this.teamsWithBlocks.add(block.team()));
 	}
 
-	void run() {
-		List<Job> queue = queue();
+	/**
+	 * Walks through all jobs that wait.
+	 */
+	void all() {
 		countHeld();
-		Set<Ask> refused = new HashSet<>();
 		Option<Job> head = Option.none();
-		for (Job job : queue) {
-			if (overLimit(job) || refused.contains(likeness(job))) {
-				continue;
-			}
-			Option<Choice> choice = place(job);
-			if (choice.isDefined()) {
-				count(job);
-				this.steps.begin(job, choice.get());
+		for (Job job : queue()) {
+			if (overLimit(job) || starts(job)) {
 				continue;
 			}
-			if (job.avoid().isEmpty()) {
-				refused.add(likeness(job));
-			}
 			head = head.orElse(Option.some(job));
 			head.forEach(this::keepRoom);
 		}
@@ -77,6 +74,45 @@
 		}
 	}
 
+	/**
+	 * Tries only the jobs that have just begun to wait: no room was freed, so the others
+	 * would find none.
+	 */
+	void arrived() {
+		countHeld();
+		Set<String> arrived = this.draft.arrived();
+		for (Job job : queue()) {
+			if (arrived.contains(job.id()) && !overLimit(job)) {
+				starts(job);
+			}
+		}
+	}
+
+	private boolean starts(Job job) {
+		if (this.refused.contains(likeness(job))) {
+			return false;
+		}
+		Option<Choice> choice = place(job);
+		if (choice.isEmpty()) {
+			refuse(job);
+			return false;
+		}
+		count(job);
+		this.steps.begin(job, choice.get());
+		return true;
+	}
+
+	/**
+	 * Remembers that a job found no room, for jobs like it. One that avoids VMs, or for
+	 * which room is kept, says nothing of others.
+	 */
+	private void refuse(Job job) {
+		boolean hasKept = this.draft.kept().exists((room) -> room.job().equals(job.id()));
+		if (job.avoid().isEmpty() && !hasKept) {
+			this.refused.add(likeness(job));
+		}
+	}
+
 	private List<Job> queue() {
 		Catalogue.Weights weights = this.draft.catalogue().weights();
 		ToLongFunction<Job> order = (job) -> order(job, weights);
@@ -167,11 +203,13 @@
 	}
 
 	/**
-	 * Two jobs with the same likeness find room, or not, alike.
+	 * Two jobs with the same likeness find room, or not, alike. The team matters only
+	 * where it has blocks of its own.
 	 */
-	private static Ask likeness(Job job) {
+	private Ask likeness(Job job) {
 		Ask ask = job.ask();
-		return new Ask("", ask.team(), ask.shape(), ask.reclaimable(), ask.urgent());
+		String team = this.teamsWithBlocks.contains(ask.team()) ? ask.team() : "";
+		return new Ask("", team, ask.shape(), ask.reclaimable(), ask.urgent());
 	}
 
 	private PlacementStrategy strategy() {
--- a/src/main/java/org/citronrelay/internal/holder/DomainLease.java
+++ b/src/main/java/org/citronrelay/internal/holder/DomainLease.java
@@ -127,7 +127,7 @@
 		}
 		return switch (written.getLeft()) {
 			case KvFailure.Conflict _ -> Either.right(false);
-			case KvFailure.Unavailable unavailable -> Either.left(unavailable);
+			case KvFailure.Unavailable _, KvFailure.LeaseGone _ -> Either.left(written.getLeft());
 			case KvFailure.Ambiguous _ -> this.kv.read(holderKey())
 				.map((stored) -> stored.exists((entry) -> java.util.Arrays.equals(entry.value(), mark)));
 		};
--- a/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
+++ b/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
@@ -53,6 +53,11 @@
 
 	private static final int FENCE_ROUNDS = 3;
 
+	/**
+	 * Long ago, and far enough from the least number that differences do not overflow.
+	 */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final DomainLease lease;
 
 	private final JobStore jobs;
@@ -81,7 +86,7 @@
 
 	private final AtomicLong newestEpoch = new AtomicLong();
 
-	private final AtomicLong confirmTriedAt = new AtomicLong(Long.MIN_VALUE);
+	private final AtomicLong confirmTriedAt = new AtomicLong(NEVER);
 
 	private volatile boolean closing;
 
--- a/src/main/java/org/citronrelay/internal/holder/JobStore.java
+++ b/src/main/java/org/citronrelay/internal/holder/JobStore.java
@@ -94,8 +94,8 @@
 				case KvFailure.Conflict conflict -> {
 					return conflicted(bytes, conflict);
 				}
-				case KvFailure.Unavailable unavailable -> result = new StoreResult.Unavailable(unavailable.reason());
-				case KvFailure.Ambiguous ambiguous -> result = new StoreResult.Unavailable(ambiguous.reason());
+				case KvFailure.Unavailable _, KvFailure.Ambiguous _, KvFailure.LeaseGone _ ->
+					result = new StoreResult.Unavailable(written.getLeft().phrase());
 			}
 		}
 		return result;
--- a/src/main/java/org/citronrelay/internal/placement/GangFit.java
+++ b/src/main/java/org/citronrelay/internal/placement/GangFit.java
@@ -62,7 +62,7 @@
 	private record VmFit(int vm, int[] starts, int members, int cost, int leftOver) {
 
 		static VmFit of(VmState state, int index, Shape shape, Room room) {
-			if (!state.usable()) {
+			if (!state.usable() || state.vm().accelerators() < shape.accelerators()) {
 				return new VmFit(index, new int[0], 0, 0, 0);
 			}
 			int most = Math.min(shape.members(), Math.min(fitting(room.amount(state, Resource.CORES), shape.cores()),
--- a/src/main/java/org/citronrelay/internal/platform/HttpKeyValueService.java
+++ b/src/main/java/org/citronrelay/internal/platform/HttpKeyValueService.java
@@ -28,6 +28,8 @@
 
 	private static final int STATUS_GONE = 404;
 
+	private static final int STATUS_LEASE_GONE = 410;
+
 	private static final int STATUS_LIMIT = 429;
 
 	private static final long WATCH_GRACE_MS = 2_000;
@@ -120,6 +122,7 @@
 			case 200, STATUS_GONE -> Either.right(reply.json());
 			case STATUS_CONFLICT -> Either.left(new KvFailure.Conflict(
 					Option.of(reply.json().get("entry")).filter((entry) -> !entry.isNull()).map(this::entry)));
+			case STATUS_LEASE_GONE -> Either.left(new KvFailure.LeaseGone(reply.json().path("lease").asText()));
 			case STATUS_LIMIT, 503 -> Either.left(new KvFailure.Unavailable("status " + reply.status()));
 			default -> Either.left(new KvFailure.Ambiguous("status " + reply.status()));
 		};
--- a/src/main/java/org/citronrelay/internal/platform/KvFailure.java
+++ b/src/main/java/org/citronrelay/internal/platform/KvFailure.java
@@ -16,6 +16,7 @@
 		return switch (this) {
 			case Conflict conflict ->
 				"conflict with revision " + conflict.current().map(KvEntry::revision).getOrElse(0L);
+			case LeaseGone gone -> "lease " + gone.lease() + " is gone";
 			case Unavailable unavailable -> "unavailable: " + unavailable.reason();
 			case Ambiguous ambiguous -> "ambiguous: " + ambiguous.reason();
 		};
@@ -34,6 +35,19 @@
 
 	}
 
+	/**
+	 * The lease under which a value was to be written is gone; nothing was written.
+	 *
+	 * @param lease the lease
+	 */
+	record LeaseGone(String lease) implements KvFailure {
+
+		public LeaseGone {
+			Objects.requireNonNull(lease, "lease");
+		}
+
+	}
+
 	/**
 	 * The call surely had no effect.
 	 *
--- a/src/main/java/org/citronrelay/internal/standin/KvStore.java
+++ b/src/main/java/org/citronrelay/internal/standin/KvStore.java
@@ -52,7 +52,7 @@
 			String lease, long now) {
 		expire(now);
 		if (!lease.isEmpty() && !this.leases.containsKey(lease)) {
-			return Either.left(new KvFailure.Unavailable("no lease " + lease));
+			return Either.left(new KvFailure.LeaseGone(lease));
 		}
 		Option<KvEntry> current = Option.of(this.values.get(key)).map((stored) -> stored.entry(key));
 		if (!holds(expectation, current)) {
--- a/src/main/java/org/citronrelay/internal/standin/RateLimit.java
+++ b/src/main/java/org/citronrelay/internal/standin/RateLimit.java
@@ -9,7 +9,7 @@
 
 	private final int perSecond;
 
-	private long windowStart = Long.MIN_VALUE;
+	private long window;
 
 	private int used;
 
@@ -18,8 +18,9 @@
 	}
 
 	synchronized boolean allows(long now) {
-		if (now - this.windowStart >= WINDOW_MS) {
-			this.windowStart = now;
+		long present = Math.floorDiv(now, WINDOW_MS);
+		if (present != this.window) {
+			this.window = present;
 			this.used = 0;
 		}
 		this.used++;
--- a/src/main/java/org/citronrelay/internal/standin/StandInKv.java
+++ b/src/main/java/org/citronrelay/internal/standin/StandInKv.java
@@ -174,6 +174,7 @@
 	private static HttpReply failed(KvFailure failure) {
 		return switch (failure) {
 			case KvFailure.Conflict conflict -> HttpReply.json(409, optional(conflict.current()));
+			case KvFailure.LeaseGone gone -> HttpReply.json(410, Json.object().put("lease", gone.lease()));
 			case KvFailure.Unavailable _, KvFailure.Ambiguous _ -> HttpReply.json(503, Json.object());
 		};
 	}
--- a/src/main/java/org/citronrelay/internal/standin/StandInWorker.java
+++ b/src/main/java/org/citronrelay/internal/standin/StandInWorker.java
@@ -102,6 +102,7 @@
 	private HttpReply serve(HttpCall call, WorkerFaults current) {
 		String request = call.header("Request-Id").getOrElse("");
 		if (current.leaving()) {
+			this.log.add("request-refused", request, this.ticker.millis());
 			return notStarted("leaving");
 		}
 		if (this.slotsInUse.incrementAndGet() > this.vm.slots()) {
--- a/src/test/java/org/citronrelay/endtoend/SeparateProcesses.java
+++ b/src/test/java/org/citronrelay/endtoend/SeparateProcesses.java
@@ -108,6 +108,21 @@
 		return this.processes.get(name);
 	}
 
+	/**
+	 * Kills an entry process.
+	 */
+	public void kill(String entry) {
+		this.processes.get(entry).destroyForcibly();
+		forget(entry);
+	}
+
+	/**
+	 * Stops using an entry process.
+	 */
+	public void forget(String entry) {
+		this.entries.remove(entry);
+	}
+
 	/**
 	 * Calls an entry process.
 	 */
--- a/src/test/java/org/citronrelay/endtoend/WholePathSteps.java
+++ b/src/test/java/org/citronrelay/endtoend/WholePathSteps.java
@@ -34,10 +34,28 @@
 
 	private static long version;
 
+	private static WholePathSteps current;
+
 	private HttpReply reply;
 
 	private String job;
 
+	public WholePathSteps() {
+		current = this;
+	}
+
+	static WholePathSteps current() {
+		return current;
+	}
+
+	static SeparateProcesses system() {
+		return system;
+	}
+
+	String job() {
+		return this.job;
+	}
+
 	@Given("two failure domains with two entry processes each")
 	public void twoFailureDomainsWithTwoEntryProcessesEach() {
 		if (system != null) {
@@ -67,7 +85,16 @@
 
 	@When("a gang of {int} members with {int} accelerators each is submitted to {string}")
 	public void aGangIsSubmittedTo(int members, int accelerators, String entry) {
-		ObjectNode body = Json.object().put("kind", "reflector-test").put("runMs", 100_000).put("payload", "gang");
+		submit(members, accelerators, entry, 100_000);
+	}
+
+	@When("a long gang of {int} members with {int} accelerators each is submitted to {string}")
+	public void aLongGangIsSubmittedTo(int members, int accelerators, String entry) {
+		submit(members, accelerators, entry, 2_000_000);
+	}
+
+	private void submit(int members, int accelerators, String entry, long runMs) {
+		ObjectNode body = Json.object().put("kind", "reflector-test").put("runMs", runMs).put("payload", "gang");
 		body.set("shape",
 				Json.object().put("members", members).put("accelerators", accelerators).put("spread", "rack"));
 		this.reply = system.call(entry, TOKEN, HttpCall.of("POST", "/v1/jobs").body(Json.bytes(body)));
@@ -81,7 +108,7 @@
 			.until(() -> status(entry), (status) -> status.path("phase").asText().equals("running"));
 		Set<String> places = new HashSet<>();
 		running.path("placement").forEach((place) -> places.add(place.asText()));
-		assertThat(places).hasSize(2).allMatch((place) -> place.endsWith(":0-7"));
+		assertThat(places).as(running.toString()).hasSize(2).allMatch((place) -> place.endsWith(":0-7"));
 	}
 
 	@Then("it finishes with the answers of {int} members, as {string} can see")
--- a/src/test/java/org/citronrelay/internal/claim/ClaimDeskTests.java
+++ b/src/test/java/org/citronrelay/internal/claim/ClaimDeskTests.java
@@ -50,30 +50,31 @@
 	@MethodSource("seeds")
 	void aKeyRunsAtMostOnceAndNotRunIsTrue(long seed) throws Exception {
 		// given
-		SplittableRandom random = new SplittableRandom(seed);
 		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(seed + 1));
-		kv.loseReplies(random.nextDouble() * 0.6);
-		Network network = new Network();
-		List<ClaimDesk> desks = new ArrayList<>();
-		for (int entry = 0; entry < 3; entry++) {
-			desks.add(network.add("entry-" + entry, kv));
-		}
-		OnceHistory history = new OnceHistory();
 
 		// when
-		try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
-			List<Future<?>> calls = new ArrayList<>();
-			for (int call = 0; call < CALLERS * 2; call++) {
-				SplittableRandom own = random.split();
-				calls.add(callers.submit(() -> call(own, desks, kv, network, history)));
-			}
-			for (Future<?> call : calls) {
-				call.get();
+		OnceHistory history = run(seed, kv);
+
+		// then
+		assertThat(history.judge()).isEmpty();
+	}
+
+	@Test
+	void theCheckGoesRedWithoutCompareAndSwap() throws Exception {
+		// given
+		List<Long> red = new ArrayList<>();
+
+		// when
+		for (long seed = 1; seed <= 50; seed++) {
+			FaultyKv kv = new FaultyKv(new KvStore(), this.ticker::millis, new SplittableRandom(seed + 1));
+			kv.ignoreExpectations();
+			if (!run(seed, kv).judge().isEmpty()) {
+				red.add(seed);
 			}
 		}
 
 		// then
-		assertThat(history.judge()).isEmpty();
+		assertThat(red).isNotEmpty();
 	}
 
 	@Test
@@ -187,6 +188,52 @@
 		assertThat(kv.writes() - before).isEqualTo(100);
 	}
 
+	@Test
+	void requestsAtOnceCostOneWriteEach() throws Exception {
+		// given
+		FaultyKv kv = new FaultyKv(this.store, this.ticker::millis, new SplittableRandom(1));
+		ClaimDesk desk = new Network().add("only", kv);
+		desk.runOnce("first", "digest", deadline(), () -> done(0));
+		int before = kv.writes();
+
+		// when
+		try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
+			List<Future<Outcome>> calls = new ArrayList<>();
+			for (int number = 0; number < 2_000; number++) {
+				String key = "key-" + number;
+				calls.add(callers.submit(() -> desk.runOnce(key, "digest", deadline(), () -> done(1))));
+			}
+			for (Future<Outcome> call : calls) {
+				call.get();
+			}
+		}
+
+		// then
+		assertThat(kv.writes() - before).isEqualTo(2_000);
+	}
+
+	private OnceHistory run(long seed, FaultyKv kv) throws Exception {
+		SplittableRandom random = new SplittableRandom(seed);
+		kv.loseReplies(random.nextDouble() * 0.6);
+		Network network = new Network();
+		List<ClaimDesk> desks = new ArrayList<>();
+		for (int entry = 0; entry < 3; entry++) {
+			desks.add(network.add("entry-" + entry, kv));
+		}
+		OnceHistory history = new OnceHistory();
+		try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
+			List<Future<?>> calls = new ArrayList<>();
+			for (int call = 0; call < CALLERS * 2; call++) {
+				SplittableRandom own = random.split();
+				calls.add(callers.submit(() -> call(own, desks, kv, network, history)));
+			}
+			for (Future<?> call : calls) {
+				call.get();
+			}
+		}
+		return history;
+	}
+
 	private void call(SplittableRandom random, List<ClaimDesk> desks, FaultyKv kv, Network network,
 			OnceHistory history) {
 		int entry = random.nextInt(desks.size());
--- a/src/test/java/org/citronrelay/internal/gang/VirtualDomain.java
+++ b/src/test/java/org/citronrelay/internal/gang/VirtualDomain.java
@@ -62,6 +62,8 @@
 
 	private double lossOfReplies;
 
+	private boolean ignoringEpochs;
+
 	private Holder holder;
 
 	private long epoch;
@@ -119,6 +121,13 @@
 		this.lossOfReplies = share;
 	}
 
+	/**
+	 * Takes the comparison of epochs at the workers out, to see a check go red.
+	 */
+	void ignoreEpochs() {
+		this.ignoringEpochs = true;
+	}
+
 	void submit(JobRecord record) {
 		this.jobs.create(DOMAIN, record);
 	}
@@ -265,6 +274,13 @@
 			}
 		}
 
+		/**
+		 * The epoch that workers are shown.
+		 */
+		private long shownEpoch() {
+			return VirtualDomain.this.ignoringEpochs ? VirtualDomain.this.epoch : this.epoch;
+		}
+
 		private void command(Effect.Command command) {
 			Effect.MemberRef member = command.member();
 			TaskTable table = VirtualDomain.this.tables.get(member.vm());
@@ -272,9 +288,9 @@
 			String task = member.task().toString();
 			deliver(member.vm(), (result) -> decide(List.of(new DomainEvent.Replied(command, result))),
 					() -> switch (command) {
-						case Effect.Reserve reserve -> table.reserve(this.epoch, reserve.reservation(), false, at);
-						case Effect.Start _ -> table.start(this.epoch, task, false, at);
-						case Effect.End end -> table.end(this.epoch, task, end.mode() == EndMode.CHECKPOINT, at);
+						case Effect.Reserve reserve -> table.reserve(shownEpoch(), reserve.reservation(), false, at);
+						case Effect.Start _ -> table.start(shownEpoch(), task, false, at);
+						case Effect.End end -> table.end(shownEpoch(), task, end.mode() == EndMode.CHECKPOINT, at);
 					});
 		}
 
@@ -282,7 +298,7 @@
 			deliver(renew.vm(),
 					(result) -> decide(List.of(new DomainEvent.Renewed(renew.vm(), renew.sentAt(), result))),
 					() -> VirtualDomain.this.tables.get(renew.vm())
-						.renew(this.epoch, renew.tasks(), renew.leaseMs(), VirtualDomain.this.now));
+						.renew(shownEpoch(), renew.tasks(), renew.leaseMs(), VirtualDomain.this.now));
 		}
 
 		private <T> void deliver(String vm, java.util.function.Consumer<Either<WorkerFailure, T>> answer,
--- a/src/test/java/org/citronrelay/testing/FaultyKv.java
+++ b/src/test/java/org/citronrelay/testing/FaultyKv.java
@@ -28,6 +28,8 @@
 
 	private volatile boolean down;
 
+	private volatile boolean ignoringExpectations;
+
 	private int writes;
 
 	public FaultyKv(KvStore store, LongSupplier now, RandomGenerator random) {
@@ -50,6 +52,13 @@
 		this.down = isDown;
 	}
 
+	/**
+	 * Takes compare-and-swap out, to see a check go red.
+	 */
+	public void ignoreExpectations() {
+		this.ignoringExpectations = true;
+	}
+
 	/**
 	 * The writes so far.
 	 */
@@ -69,7 +78,8 @@
 
 	@Override
 	public Either<KvFailure, KvEntry> write(String key, byte[] value, Expectation expectation, String lease) {
-		return change(() -> this.store.write(key, value, expectation, lease, this.now.getAsLong()));
+		Expectation used = this.ignoringExpectations ? new Expectation.Anything() : expectation;
+		return change(() -> this.store.write(key, value, used, lease, this.now.getAsLong()));
 	}
 
 	@Override
--- /dev/null
+++ b/src/test/java/org/citronrelay/testing/HistoryTests.java
@@ -0,0 +1,98 @@
+package org.citronrelay.testing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.citronrelay.Outcome;
+import org.citronrelay.Outcome.NotRunCause;
+import org.citronrelay.internal.standin.RunLog.Event;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The judges must reject histories that break a rule.
+ */
+class HistoryTests {
+
+	private static final long BOUND_MS = 1_000;
+
+	@Test
+	void aGangThatRunsInPartForTooLongIsRejected() {
+		assertThat(judge(
+				List.of(start("job.1.0.2", 0), start("job.1.1.2", 5), end("job.1.1.2", 100), end("job.1.0.2", 2_000)),
+				Set.of(), Map.of(), Map.of()))
+			.isNotEmpty();
+	}
+
+	@Test
+	void aGangThatIsEndedWithinTheBoundIsAccepted() {
+		assertThat(judge(
+				List.of(start("job.1.0.2", 0), start("job.1.1.2", 5), end("job.1.1.2", 100), end("job.1.0.2", 900)),
+				Set.of(), Map.of(), Map.of()))
+			.isEmpty();
+	}
+
+	@Test
+	void aOnceOnlyJobThatIsStartedTwiceIsRejected() {
+		assertThat(judge(
+				List.of(start("job.1.0.1", 0), end("job.1.0.1", 10), start("job.2.0.1", 20), end("job.2.0.1", 30)),
+				Set.of("job"), Map.of(), Map.of()))
+			.isNotEmpty();
+	}
+
+	@Test
+	void aJobThatStartsAfterItWasCancelledIsRejected() {
+		assertThat(judge(List.of(start("job.1.0.1", 20), end("job.1.0.1", 30)), Set.of(), Map.of("job", 10L), Map.of()))
+			.isNotEmpty();
+	}
+
+	@Test
+	void anAnswerOfAGangThatNeverRanWholeIsRejected() {
+		assertThat(judge(List.of(start("job.1.0.2", 0), end("job.1.0.2", 30)), Set.of(), Map.of(), Map.of("job", 2)))
+			.isNotEmpty();
+	}
+
+	@Test
+	void aKeyThatRanTwiceIsRejected() {
+		OnceHistory history = new OnceHistory();
+		history.ran("key", history.invoke("key"));
+		history.ran("key", history.invoke("key"));
+		assertThat(history.judge()).isNotEmpty();
+	}
+
+	@Test
+	void aCallThatRanAndWasToldNotRunIsRejected() {
+		OnceHistory history = new OnceHistory();
+		int call = history.invoke("key");
+		history.ran("key", call);
+		history.returned("key", call, new Outcome.NotRun(NotRunCause.OVERLOAD, "no slot", 0));
+		assertThat(history.judge()).isNotEmpty();
+	}
+
+	@Test
+	void twoAnswersOfOneKeyAreRejected() {
+		OnceHistory history = new OnceHistory();
+		int first = history.invoke("key");
+		int second = history.invoke("key");
+		history.ran("key", first);
+		history.returned("key", first, new Outcome.Done(200, Map.of(), new byte[] { 1 }));
+		history.returned("key", second, new Outcome.Done(200, Map.of(), new byte[] { 2 }));
+		assertThat(history.judge()).isNotEmpty();
+	}
+
+	private static List<String> judge(List<Event> log, Set<String> onceOnly, Map<String, Long> cancelledAt,
+			Map<String, Integer> done) {
+		return new GangHistory(BOUND_MS).judge(List.of(log), onceOnly, cancelledAt, done);
+	}
+
+	private static Event start(String task, long at) {
+		return new Event("task-start", task, at);
+	}
+
+	private static Event end(String task, long at) {
+		return new Event("task-end", task, at);
+	}
+
+}
