--- a/src/main/java/org/citronrelay/internal/bench/CapacityBench.java
+++ b/src/main/java/org/citronrelay/internal/bench/CapacityBench.java
@@ -1,21 +1,33 @@
 package org.citronrelay.internal.bench;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.citronrelay.internal.catalogue.CatalogueVersion;
 import org.citronrelay.internal.catalogue.CatalogueWriter;
 import org.citronrelay.internal.demo.FreeAddresses;
 import org.citronrelay.internal.gang.DomainEvent;
 import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.peer.PeerMessage;
 import org.citronrelay.internal.peer.PeerNode;
 import org.citronrelay.internal.peer.PeerStatus;
+import org.citronrelay.internal.platform.HttpWorkerTasks;
+import org.citronrelay.internal.platform.Vm;
+import org.citronrelay.internal.platform.WorkerTasks;
+import org.citronrelay.internal.platform.WorkerTasks.Reservation;
+import org.citronrelay.internal.standin.StandInWorker;
 import org.citronrelay.internal.time.Pause;
+import org.citronrelay.internal.time.Ticker;
 
 /**
  * The slopes behind docs/CAPACITY.md, each over at least four sizes.
@@ -46,6 +58,7 @@
 		catalogueBytes(rows);
 		recordBytes(rows);
 		heartbeat(rows);
+		renewal(rows);
 		return rows;
 	}
 
@@ -128,6 +141,10 @@
 				points.add(new Slope.Point(avoided, beat(caller, peer, other, avoided)));
 			}
 			add(rows, "bytes of a heartbeat and its answer, by avoided VMs", points, "bytes", 1);
+			long wire = loopbackBytes();
+			beat(caller, peer, other, 0);
+			rows.add(Row.plain("bytes on the wire of a heartbeat and its answer",
+					Long.toString((loopbackBytes() - wire) / HEARTBEATS)));
 			long start = processorNanos();
 			beat(caller, peer, other, 1);
 			rows.add(Row.plain("processor time of a heartbeat, both ends",
@@ -135,6 +152,56 @@
 		}
 	}
 
+	/**
+	 * What the renewal of a worker's tasks and its answer put on the wire, headers of TCP
+	 * and IP included, by the tasks of the worker.
+	 */
+	private static void renewal(List<Row> rows) {
+		Vm vm = new Vm("vm", "east", "rack", FreeAddresses.next(), 8, 4_096, 65_536, 8, 60, false);
+		try (StandInWorker worker = new StandInWorker(vm, 1, 1, Ticker.system());
+				HttpClient client = new HttpClient(1 << 20)) {
+			WorkerTasks tasks = new HttpWorkerTasks(client, 1_500);
+			List<String> ids = new ArrayList<>();
+			List<Slope.Point> points = new ArrayList<>();
+			for (int count : new int[] { 1, 4, 8, 16 }) {
+				while (ids.size() < count) {
+					String id = "quebec-city--0123456789abcdef0123." + ids.size() + ".0.1";
+					tasks.reserve(vm.address(), 1, new Reservation(id, 0, 0, 8, 16, 3_600_000, 0, 600_000, "payload"));
+					ids.add(id);
+				}
+				points.add(new Slope.Point(count, renewalBytes(tasks, vm, ids)));
+			}
+			add(rows, "bytes on the wire of a renewal and its answer, by tasks", points, "bytes", 8);
+			long start = processorNanos();
+			renewalBytes(tasks, vm, ids.subList(0, 8));
+			rows.add(Row.plain("processor time of a renewal of 8 tasks, both ends",
+					String.format(Locale.ROOT, "%.0f us", (processorNanos() - start) / NANOS_PER_US / HEARTBEATS)));
+		}
+	}
+
+	private static double renewalBytes(WorkerTasks tasks, Vm vm, List<String> ids) {
+		long before = loopbackBytes();
+		for (int number = 0; number < HEARTBEATS; number++) {
+			tasks.renew(vm.address(), 1, ids, 600_000);
+		}
+		return (double) (loopbackBytes() - before) / HEARTBEATS;
+	}
+
+	/**
+	 * The bytes that went over the loopback device so far.
+	 */
+	private static long loopbackBytes() {
+		try (Stream<String> lines = Files.lines(Path.of("/proc/self/net/dev"))) {
+			return lines.map(String::strip)
+				.filter((line) -> line.startsWith("lo:"))
+				.mapToLong((line) -> Long.parseLong(line.substring("lo:".length()).strip().split("\\s+")[0]))
+				.sum();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private static double beat(PeerNode caller, PeerNode peer, Address address, int avoided) {
 		List<String> names = new SplittableRandom(1).ints(avoided, 0, 1_000)
 			.mapToObj((vm) -> "montreal-" + vm)
--- a/src/test/java/org/citronrelay/endtoend/WholePathSteps.java
+++ b/src/test/java/org/citronrelay/endtoend/WholePathSteps.java
@@ -1,5 +1,6 @@
 package org.citronrelay.endtoend;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.cucumber.java.After;
 import io.cucumber.java.AfterAll;
+import io.cucumber.java.Before;
+import io.cucumber.java.Scenario;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
@@ -36,6 +39,8 @@
 
 	private static WholePathSteps current;
 
+	private static URI feature;
+
 	private HttpReply reply;
 
 	private String job;
@@ -56,6 +61,18 @@
 		return this.job;
 	}
 
+	/**
+	 * Each feature has a system of its own, since some of them kill its processes.
+	 */
+	@Before
+	public void startAnewForAnotherFeature(Scenario scenario) {
+		if (!scenario.getUri().equals(feature)) {
+			stop();
+			feature = scenario.getUri();
+			version = 0;
+		}
+	}
+
 	@Given("two failure domains with two entry processes each")
 	public void twoFailureDomainsWithTwoEntryProcessesEach() {
 		if (system != null) {
