--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/catalogue/CatalogueStoreTests.java
@@ -0,0 +1,176 @@
+package org.citronrelay.internal.catalogue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.citronrelay.Catalogue;
+import org.citronrelay.Findings;
+import org.citronrelay.internal.standin.KvStore;
+import org.citronrelay.testing.FaultyKv;
+import org.citronrelay.testing.Fixtures;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The catalogue under operator races, lost replies and a key-value service that goes back
+ * to an older copy.
+ */
+class CatalogueStoreTests {
+
+	private static final int OPERATORS = 4;
+
+	private final KvStore store = new KvStore();
+
+	static List<Long> seeds() {
+		return Fixtures.seeds(100);
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void ofOperatorsThatRaceOnTheSameBaseExactlyOneIsAccepted(long seed) throws Exception {
+		// given
+		FaultyKv kv = kv(seed);
+		kv.loseReplies(new SplittableRandom(seed).nextDouble() * 0.4);
+
+		// when
+		List<ApplyResult> results = race(kv);
+
+		// then
+		long accepted = results.stream().filter(ApplyResult.Accepted.class::isInstance).count();
+		long unknown = results.stream().filter(ApplyResult.Unknown.class::isInstance).count();
+		kv.loseReplies(0);
+		AppliedCatalogue fresh = new AppliedCatalogue();
+		new CatalogueStore(kv, fresh, CatalogueStoreTests::good).refresh();
+		assertThat(accepted).isLessThanOrEqualTo(1);
+		if (accepted == 1) {
+			ApplyResult.Accepted winner = results.stream()
+				.filter(ApplyResult.Accepted.class::isInstance)
+				.map(ApplyResult.Accepted.class::cast)
+				.findFirst()
+				.orElseThrow();
+			assertThat(fresh.current()).isEqualTo(winner.version());
+		}
+		if (unknown == 0 && accepted == 0) {
+			assertThat(fresh.current().number()).isZero();
+		}
+	}
+
+	@Test
+	void theLoserOfARaceIsToldWhichEntriesClash() {
+		// given
+		FaultyKv kv = kv(1);
+		CatalogueStore first = store(kv);
+		CatalogueStore second = store(kv);
+		first.apply(document("alpha", 50), 0, "one", 0);
+		second.refresh();
+		first.apply(document("alpha", 60), 1, "one", 0);
+
+		// when
+		ApplyResult result = second.apply(document("alpha", 70), 1, "two", 0);
+
+		// then
+		assertThat(result).isInstanceOfSatisfying(ApplyResult.Conflicting.class, (conflict) -> {
+			assertThat(conflict.head()).isEqualTo(2);
+			assertThat(conflict.clashes()).containsExactly("Team/alpha");
+		});
+	}
+
+	@Test
+	void anAcceptedChangeComesBackAfterTheServiceWentBackToAnOlderCopy() {
+		// given
+		FaultyKv kv = kv(1);
+		AppliedCatalogue applied = new AppliedCatalogue();
+		CatalogueStore operator = new CatalogueStore(kv, applied, CatalogueStoreTests::good);
+		operator.apply(document("alpha", 50), 0, "one", 0);
+		this.store.backUp();
+		operator.apply(document("alpha", 60), 1, "one", 0);
+		this.store.restore();
+
+		// when
+		operator.refresh();
+		AppliedCatalogue fresh = new AppliedCatalogue();
+		new CatalogueStore(kv, fresh, CatalogueStoreTests::good).refresh();
+
+		// then
+		assertThat(applied.current().number()).isEqualTo(2);
+		assertThat(fresh.current()).isEqualTo(applied.current());
+	}
+
+	@Test
+	void anEntryMadeAgainUnderItsOldNameIsANewEntry() {
+		// given
+		CatalogueStore operator = store(kv(1));
+		String first = idOf(operator.apply(document("alpha", 50), 0, "one", 0));
+		operator.apply(document("beta", 50), 1, "one", 0);
+
+		// when
+		String again = idOf(operator.apply(document("alpha", 50), 2, "one", 0));
+
+		// then
+		assertThat(again).isNotEqualTo(first);
+	}
+
+	@Test
+	void allFaultsOfADocumentAreReportedTogetherWithTheirPlaces() {
+		// when
+		ApplyResult result = store(kv(1)).apply("""
+				{"deployment":"test","classes":[],"teams":[
+				{"name":"a","owner":"o","class":"none","limits":{"requestsInProgress":-1,"jobs":1,"accelerators":1}},
+				{"name":"a","owner":"o","class":"none","limits":{"requestsInProgress":1,"jobs":1,"accelerators":1}}],
+				"colour":"green"}""".getBytes(StandardCharsets.UTF_8), 0, "one", 0);
+
+		// then
+		assertThat(result).isInstanceOfSatisfying(ApplyResult.Invalid.class,
+				(invalid) -> assertThat(invalid.findings().list()).extracting("pointer")
+					.contains("/teams/0/limits/requestsInProgress", "/teams/1/name", "/teams/0/class", "/colour"));
+	}
+
+	private List<ApplyResult> race(FaultyKv kv) throws Exception {
+		List<ApplyResult> results = new ArrayList<>();
+		try (ExecutorService operators = Executors.newFixedThreadPool(OPERATORS)) {
+			List<Future<ApplyResult>> calls = new ArrayList<>();
+			for (int operator = 0; operator < OPERATORS; operator++) {
+				byte[] document = document("alpha", 50 + operator);
+				String author = "operator-" + operator;
+				calls.add(operators.submit(() -> store(kv).apply(document, 0, author, 0)));
+			}
+			for (Future<ApplyResult> call : calls) {
+				results.add(call.get());
+			}
+		}
+		return results;
+	}
+
+	private FaultyKv kv(long seed) {
+		return new FaultyKv(this.store, () -> 0, new SplittableRandom(seed));
+	}
+
+	private static CatalogueStore store(FaultyKv kv) {
+		return new CatalogueStore(kv, new AppliedCatalogue(), CatalogueStoreTests::good);
+	}
+
+	private static Findings good(Catalogue catalogue) {
+		return new Findings(List.of());
+	}
+
+	private static String idOf(ApplyResult result) {
+		return ((ApplyResult.Accepted) result).version().catalogue().teams().getFirst().id();
+	}
+
+	private static byte[] document(String team, int jobs) {
+		return """
+				{"deployment":"test","classes":[{"name":"bulk","owner":"o","priority":1,"limits":{"queueWaitMs":1}}],
+				"teams":[{"name":"%s","owner":"o","class":"bulk",
+				"limits":{"requestsInProgress":1,"jobs":%d,"accelerators":1}}]}
+				""".formatted(team, jobs).getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/dispatch/DispatcherTests.java
@@ -0,0 +1,133 @@
+package org.citronrelay.internal.dispatch;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.citronrelay.Outcome;
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.testing.Fixtures;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DispatcherTests {
+
+	private static final long DEADLINE_MS = 5_000;
+
+	private final AtomicLong now = new AtomicLong(1_000);
+
+	private final Map<Address, AtomicInteger> sent = new ConcurrentHashMap<>();
+
+	@Test
+	void aLostAnswerOfAOnceOnlyRequestIsUnknownAndNotSentAgain() {
+		// given
+		Dispatcher dispatcher = dispatcher((address) -> new Attempt.Lost("cut"));
+
+		// when
+		Outcome outcome = dispatcher.send(request(false), this.now.get() + DEADLINE_MS);
+
+		// then
+		assertThat(outcome).isInstanceOf(Outcome.Unknown.class);
+		assertThat(sent()).isEqualTo(1);
+	}
+
+	@Test
+	void aLostAnswerOfAnIdempotentRequestIsTriedElsewhere() {
+		// given
+		AtomicInteger calls = new AtomicInteger();
+		Dispatcher dispatcher = dispatcher(
+				(address) -> (calls.getAndIncrement() == 0) ? new Attempt.Lost("cut") : whole(200));
+
+		// when
+		Outcome outcome = dispatcher.send(request(true), this.now.get() + DEADLINE_MS);
+
+		// then
+		assertThat(outcome).isInstanceOf(Outcome.Done.class);
+		assertThat(this.sent).hasSize(2);
+	}
+
+	@Test
+	void aRequestThatEveryWorkerRefusesDidNotRun() {
+		// given
+		Dispatcher dispatcher = dispatcher((address) -> new Attempt.NotStarted("no slot", false, false));
+
+		// when
+		Outcome outcome = dispatcher.send(request(false), this.now.get() + DEADLINE_MS);
+
+		// then
+		assertThat(outcome).isInstanceOf(Outcome.NotRun.class);
+	}
+
+	@Test
+	void aWorkerThatFailsEverythingLosesItsTraffic() {
+		// given
+		Address bad = Fixtures.vms("east", 8, 4).getFirst().address();
+		Dispatcher dispatcher = dispatcher((address) -> address.equals(bad) ? whole(500) : whole(200));
+		send(dispatcher, 400);
+		int before = this.sent.get(bad).get();
+
+		// when
+		send(dispatcher, 400);
+
+		// then
+		assertThat(dispatcher.ejected()).containsExactly("east-1");
+		assertThat(this.sent.get(bad).get()).isEqualTo(before);
+	}
+
+	@Test
+	void aWorkerThatIsLeavingReceivesNothingAfterItsFirstRefusal() {
+		// given
+		Address leaving = Fixtures.vms("east", 8, 4).getFirst().address();
+		Dispatcher dispatcher = dispatcher(
+				(address) -> address.equals(leaving) ? new Attempt.NotStarted("leaving", true, false) : whole(200));
+
+		// when
+		send(dispatcher, 400);
+
+		// then
+		assertThat(this.sent.get(leaving)).hasValue(1);
+	}
+
+	@Test
+	void whenAllWorkersFailRetriesStayWithinTheirBudget() {
+		// given
+		Dispatcher dispatcher = dispatcher((address) -> new Attempt.Lost("cut"));
+
+		// when
+		send(dispatcher, 1_000);
+
+		// then
+		assertThat(sent()).isLessThan(1_250);
+	}
+
+	private void send(Dispatcher dispatcher, int count) {
+		for (int number = 0; number < count; number++) {
+			dispatcher.send(request(true), this.now.get() + DEADLINE_MS);
+		}
+	}
+
+	private int sent() {
+		return this.sent.values().stream().mapToInt(AtomicInteger::get).sum();
+	}
+
+	private Dispatcher dispatcher(java.util.function.Function<Address, Attempt> workers) {
+		Dispatcher dispatcher = new Dispatcher((address, request, timeoutMs) -> {
+			this.sent.computeIfAbsent(address, (key) -> new AtomicInteger()).incrementAndGet();
+			return workers.apply(address);
+		}, this.now::get, "east");
+		dispatcher.vms(Fixtures.vms("east", 8, 4));
+		return dispatcher;
+	}
+
+	private static BackendRequest request(boolean idempotent) {
+		return new BackendRequest("id", "service", idempotent, "text/plain", new byte[0]);
+	}
+
+	private static Attempt whole(int status) {
+		return new Attempt.Whole(HttpReply.text(status, "answer"));
+	}
+
+}
