Split the large files along their seams and hold the layout by rules

Cause: EntryProcess, GangSteps and HolderLoop had over 400 lines and two jobs each; nothing held the habits of the layout.

--- a/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
+++ b/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
@@ -1,6 +1,5 @@
 package org.citronrelay.internal.entry;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -8,13 +7,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Option;
 import org.citronrelay.Catalogue;
-import org.citronrelay.CatalogueEntry.ServiceClass;
 import org.citronrelay.Outcome;
 import org.citronrelay.internal.admission.SlotGate;
 import org.citronrelay.internal.admission.TeamGate;
@@ -46,7 +43,6 @@
 import org.citronrelay.internal.peer.PeerNode;
 import org.citronrelay.internal.peer.PeerStatus;
 import org.citronrelay.internal.peer.PeerTable;
-import org.citronrelay.internal.peer.PeerTable.Peer;
 import org.citronrelay.internal.pipeline.ClaimFilter;
 import org.citronrelay.internal.pipeline.DispatchStage;
 import org.citronrelay.internal.pipeline.KnownKeyFilter;
@@ -133,6 +129,10 @@
 
 	private final PeerDesk peerDesk;
 
+	private final Reports reports;
+
+	private final PeerAnswers answers;
+
 	private final HttpEndpoint http;
 
 	private volatile boolean leaving;
@@ -159,10 +159,14 @@
 				jobStore, new HttpWorkerTasks(this.client, settings.workerTimeoutMs()), new DomainSources(),
 				this.ticker, settings.timings(), settings.failureDomain(), this::note);
 		this.jobs = new JobDesk(jobStore, this::loadOf, settings.failureDomain());
+		this.reports = new Reports(this.process, settings.failureDomain(), this.ticker, this.applied, this.levels,
+				this.dispatcher, this.holder, this.peerDesk);
+		this.answers = new PeerAnswers(this.process, this.ticker, this.applied, this.claims, this.ledger, this.holder,
+				this.reports, this::status, this::heard);
 		this.membership = new Membership(this.kv, this.table, this::status, this::heard, this.ticker);
 		Router router = new Router(new Router.Parts(pipeline(), this.claims, this.jobs, this.vms::get,
-				new HolderCalls(), this.store, this.applied, check, this::inForce, this::report, this::ready,
-				this.registry, settings.operatorTokenDigests(), this.ticker, System::currentTimeMillis));
+				new HolderCalls(), this.store, this.applied, check, this.reports::inForce, this.reports::all,
+				this::ready, this.registry, settings.operatorTokenDigests(), this.ticker, System::currentTimeMillis));
 		this.http = HttpEndpoint.start(settings.http(), settings.limits(), (call) -> handle(router, call));
 		registerGauges();
 	}
@@ -294,6 +298,14 @@
 				waiting(this.holder.state()), this.dispatcher.leaving());
 	}
 
+	/**
+	 * Answers a peer; one that calls while this process is being built learns nothing
+	 * yet.
+	 */
+	private PeerMessage answerPeer(PeerMessage message) {
+		return (this.answers != null) ? this.answers.apply(message) : new PeerMessage.Nothing();
+	}
+
 	private void heard(PeerStatus status) {
 		this.table.heard(status, this.ticker.millis());
 		if (status.failureDomain().equals(this.settings.failureDomain())) {
@@ -304,55 +316,6 @@
 		}
 	}
 
-	private PeerMessage answerPeer(PeerMessage message) {
-		return switch (message) {
-			case PeerMessage.Heartbeat heartbeat -> {
-				heard(heartbeat.status());
-				yield new PeerMessage.Heartbeat(status());
-			}
-			case PeerMessage.CatalogueWanted wanted ->
-				new PeerMessage.Document((this.applied.current().number() >= wanted.number())
-						? this.applied.current().bytes() : new byte[0]);
-			case PeerMessage.OutcomeWanted wanted -> new PeerMessage.OutcomeKnown(wanted.key(),
-					new org.citronrelay.internal.claim.Claim(wanted.claim(), this.process, ""),
-					this.claims.answerPeer(wanted.claim(), this.ticker.millis() + wanted.waitMs()));
-			case PeerMessage.OutcomeKnown known -> {
-				this.ledger.close(known.key(), known.claim(), known.outcome());
-				yield new PeerMessage.Nothing();
-			}
-			case PeerMessage.DocumentWanted wanted -> new PeerMessage.Document(document(wanted));
-			case PeerMessage.Document _, PeerMessage.Nothing _ -> new PeerMessage.Nothing();
-		};
-	}
-
-	private byte[] document(PeerMessage.DocumentWanted wanted) {
-		return switch (wanted.topic()) {
-			case PeerDesk.CLAIM -> this.ledger.latest(wanted.argument())
-				.filter((line) -> !line.surelyNotRun())
-				.map((line) -> line.claim().bytes())
-				.getOrElse(new byte[0]);
-			case PeerDesk.JOB -> liveJob(wanted.argument()).map(Json::bytes).getOrElse(new byte[0]);
-			case PeerDesk.RECORD -> {
-				JsonNode body = Json.parseOwn(wanted.argument().getBytes(StandardCharsets.UTF_8));
-				this.holder.tell(new RecordSeen(JobRecord.read(Json.bytes(body.path("record"))),
-						body.path("revision").asLong()));
-				yield new byte[0];
-			}
-			case PeerDesk.LEVELS -> Json.bytes(ownLevels());
-			default -> new byte[0];
-		};
-	}
-
-	private Option<ObjectNode> liveJob(String jobId) {
-		DomainState state = this.holder.state();
-		return state.record(jobId).map((record) -> {
-			ObjectNode body = record.toJson();
-			body.put("phase", state.phaseOf(jobId).getOrElse("unknown"));
-			state.placementOf(jobId).forEach(body.putArray("placement")::add);
-			return body;
-		});
-	}
-
 	private int loadOf(String domain) {
 		if (domain.equals(this.settings.failureDomain()) && this.holder.holds()) {
 			return waiting(this.holder.state());
@@ -364,63 +327,6 @@
 		return state.queuedAccelerators();
 	}
 
-	private ObjectNode inForce() {
-		ObjectNode body = Json.object();
-		long now = this.ticker.millis();
-		body.withArray("entries")
-			.addObject()
-			.put("process", this.process)
-			.put("failureDomain", this.settings.failureDomain())
-			.put("version", this.applied.current().number())
-			.put("reached", true);
-		for (Peer peer : this.peerDesk.all()) {
-			body.withArray("entries")
-				.addObject()
-				.put("process", peer.status().process())
-				.put("failureDomain", peer.status().failureDomain())
-				.put("version", peer.status().catalogueNumber())
-				.put("reached", peer.aliveAt(now));
-		}
-		return body;
-	}
-
-	private ObjectNode ownLevels() {
-		ObjectNode body = this.levels.toJson(this.ticker.millis());
-		body.put("process", this.process);
-		body.put("failureDomain", this.settings.failureDomain());
-		this.dispatcher.ejected().forEach(body.putArray("ejected")::add);
-		if (this.holder.holds()) {
-			body.set("domain", this.holder.state().summary(this.ticker.millis()));
-		}
-		return body;
-	}
-
-	private ObjectNode report() {
-		ObjectNode body = Json.object();
-		body.withArray("entries").add(ownLevels());
-		body.putArray("notReached");
-		long now = this.ticker.millis();
-		for (Peer peer : this.peerDesk.all()) {
-			Option<JsonNode> levels = peer.aliveAt(now)
-					? this.peerDesk.document(peer, PeerDesk.LEVELS, "").flatMap((bytes) -> Json.parse(bytes).toOption())
-					: Option.none();
-			if (levels.isDefined()) {
-				body.withArray("entries").add(levels.get());
-			}
-			else {
-				body.withArray("notReached").add(peer.status().process() + " in " + peer.status().failureDomain());
-			}
-		}
-		for (ServiceClass serviceClass : this.applied.current().catalogue().classes()) {
-			body.withArray("objectives")
-				.addObject()
-				.put("class", serviceClass.name())
-				.put("goodShare", serviceClass.objective().goodShare())
-				.put("latencyMs", serviceClass.objective().latencyMs());
-		}
-		return body;
-	}
-
 	private void note(Effect.Note note) {
 		JobRecord record = note.record();
 		if (note.tookMs() < 0) {
@@ -469,7 +375,7 @@
 			String domain = JobDesk.domainOf(jobId);
 			boolean here = domain.equals(EntryProcess.this.settings.failureDomain())
 					&& EntryProcess.this.holder.holds();
-			return here ? liveJob(jobId) : EntryProcess.this.peerDesk.job(domain, jobId);
+			return here ? EntryProcess.this.reports.liveJob(jobId) : EntryProcess.this.peerDesk.job(domain, jobId);
 		}
 
 		@Override
--- a/src/main/java/org/citronrelay/internal/gang/Adoption.java
+++ b/src/main/java/org/citronrelay/internal/gang/Adoption.java
@@ -42,7 +42,7 @@
 			this.draft.put(job);
 		}
 		else if (record.members().isEmpty()) {
-			this.steps.closeCancelled(job);
+			this.steps.ends().closeCancelled(job);
 		}
 		else {
 			adoptAssigned(job, record);
@@ -52,7 +52,7 @@
 	private void adoptAssigned(Job job, JobRecord record) {
 		Choice choice = choiceOf(record);
 		if (choice.allocations().size() < record.members().size()) {
-			this.steps.close(job, lostRecord(record));
+			this.steps.ends().close(job, lostRecord(record));
 			return;
 		}
 		this.draft.hold(job, choice);
@@ -64,7 +64,7 @@
 		Job running = job.in(new JobPhase.Running(choice, this.draft.now(), seenAt, Map.of()));
 		this.draft.put(running);
 		if (record.state() == StoredState.CANCELLING) {
-			this.steps.end(running, choice, new EndCause.Cancelled());
+			this.steps.ends().end(running, choice, new EndCause.Cancelled());
 		}
 		else {
 			this.steps.startAgain(running, choice);
--- a/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
+++ b/src/main/java/org/citronrelay/internal/gang/DomainScheduler.java
@@ -82,15 +82,15 @@
 			return;
 		}
 		switch (known.phase()) {
-			case JobPhase.Queued _ -> this.steps.closeCancelled(newer);
+			case JobPhase.Queued _ -> this.steps.ends().closeCancelled(newer);
 			case JobPhase.Reclaiming reclaiming -> {
 				this.draft.release(newer, reclaiming.choice());
-				this.steps.closeCancelled(newer);
+				this.steps.ends().closeCancelled(newer);
 				this.steps.releaseWaiters(newer.id());
 			}
 			case JobPhase.Ending _, JobPhase.Closing _ -> {
 			}
-			case JobPhase.Holding holding -> this.steps.end(newer, holding.choice(), new EndCause.Cancelled());
+			case JobPhase.Holding holding -> this.steps.ends().end(newer, holding.choice(), new EndCause.Cancelled());
 		}
 	}
 
@@ -110,11 +110,11 @@
 		long now = this.draft.now();
 		switch (job.phase()) {
 			case JobPhase.Reserving reserving when now >= reserving.deadline() ->
-				this.steps.end(job, reserving.choice(), new EndCause.NotStarted("reserving took too long"));
+				this.steps.ends().end(job, reserving.choice(), new EndCause.NotStarted("reserving took too long"));
 			case JobPhase.Starting starting when now >= starting.deadline() ->
-				this.steps.end(job, starting.choice(), new EndCause.Lost("starting took too long"));
-			case JobPhase.Ending ending -> this.steps.endAgain(job, ending);
-			case JobPhase.Closing closing when now >= closing.retryAt() -> this.steps.close(job, closing.last());
+				this.steps.ends().end(job, starting.choice(), new EndCause.Lost("starting took too long"));
+			case JobPhase.Ending ending -> this.steps.ends().endAgain(job, ending);
+			case JobPhase.Closing closing when now >= closing.retryAt() -> this.steps.ends().close(job, closing.last());
 			default -> {
 			}
 		}
--- a/src/main/java/org/citronrelay/internal/gang/GangSteps.java
+++ b/src/main/java/org/citronrelay/internal/gang/GangSteps.java
@@ -9,38 +9,40 @@
 import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
-import org.citronrelay.Reclaim;
-import org.citronrelay.Shape;
 import org.citronrelay.internal.gang.DomainEvent.StoreResult;
 import org.citronrelay.internal.gang.JobPhase.EndCause;
 import org.citronrelay.internal.gang.JobRecord.Member;
 import org.citronrelay.internal.gang.JobRecord.StoredState;
 import org.citronrelay.internal.placement.Allocation;
 import org.citronrelay.internal.placement.Choice;
-import org.citronrelay.internal.platform.WorkerTasks.EndMode;
 import org.citronrelay.internal.platform.WorkerTasks.Reservation;
 import org.citronrelay.internal.platform.WorkerTasks.TaskReport;
 import org.citronrelay.internal.platform.WorkerTasks.TaskState;
 import org.citronrelay.internal.platform.WorkerTasks.WorkerFailure;
 
 /**
- * The steps of a gang: reserve all, store the attempt, start all, end all.
+ * The steps of a gang towards its run: reserve all members, store the attempt, start all.
  *
  * <p>
  * No member starts before every member is reserved and the attempt is stored. When
- * anything fails, all members are ended, and the room is free only once each of them has
- * said so or its lease has surely lapsed.
+ * anything fails, {@link GangEnd} ends all members.
  */
 final class GangSteps {
 
-	private static final long RETRY_MS = 1_000;
-
-	private static final long LAPSE_MARGIN_MS = 1_000;
-
 	private final DomainDraft draft;
 
+	private final GangEnd ends;
+
 	GangSteps(DomainDraft draft) {
 		this.draft = draft;
+		this.ends = new GangEnd(draft, this);
+	}
+
+	/**
+	 * The steps by which gangs end.
+	 */
+	GangEnd ends() {
+		return this.ends;
 	}
 
 	/**
@@ -80,7 +82,8 @@
 				reserved(job, reserving, member, result);
 			case JobPhase.Starting starting when command instanceof Effect.Start ->
 				started(job, starting, member, result);
-			case JobPhase.Ending ending when command instanceof Effect.End -> ended(job, ending, member, result);
+			case JobPhase.Ending ending when command instanceof Effect.End ->
+				this.ends.ended(job, ending, member, result);
 			default -> {
 			}
 		}
@@ -92,7 +95,7 @@
 	void stored(Job job, JobRecord record, StoreResult result) {
 		switch (job.phase()) {
 			case JobPhase.Recording recording -> recorded(job, recording, record, result);
-			case JobPhase.Closing closing -> closed(job, closing, result);
+			case JobPhase.Closing closing -> this.ends.closed(job, closing, result);
 			default -> {
 				if (result instanceof StoreResult.Done done && done.revision() > job.revision()) {
 					this.draft.put(job.stored(record, done.revision()));
@@ -117,40 +120,8 @@
 			case FINISHED -> finished(job, running, member, answer);
 			case FAILED -> failed(job, running.choice(), member);
 			case STOPPED, CHECKPOINTED ->
-				end(job, running.choice(), new EndCause.Lost("member " + member + " stopped"));
-		}
-	}
-
-	/**
-	 * Ends all members of a job, whatever phase it is in.
-	 */
-	void end(Job job, Choice choice, EndCause cause) {
-		boolean checkpoint = cause instanceof EndCause.Reclaimed && job.phase() instanceof JobPhase.Running
-				&& job.record().owner().reclaim() == Reclaim.CHECKPOINT;
-		Set<Integer> open = members(job.record().spec().shape());
-		long now = this.draft.now();
-		long lapsedAt = now + this.draft.timings().leaseMs() + LAPSE_MARGIN_MS;
-		JobPhase.Ending ending = new JobPhase.Ending(choice, cause, checkpoint, open, Long.MAX_VALUE,
-				now + this.draft.timings().checkpointBoundMs(), lapsedAt);
-		this.draft.put(job.in(ending));
-		sendEnds(job, ending);
-	}
-
-	/**
-	 * Sends the end commands of all members that are not known to have ended again.
-	 */
-	void endAgain(Job job, JobPhase.Ending ending) {
-		if (this.draft.now() >= ending.lapsedAt()) {
-			allEnded(job, ending);
-			return;
-		}
-		if (ending.checkpoint() && this.draft.now() < ending.checkpointUntil()) {
-			return;
+				this.ends.end(job, running.choice(), new EndCause.Lost("member " + member + " stopped"));
 		}
-		JobPhase.Ending stopping = new JobPhase.Ending(ending.choice(), ending.cause(), false, ending.open(),
-				ending.savedMs(), ending.checkpointUntil(), ending.lapsedAt());
-		this.draft.put(job.in(stopping));
-		sendEnds(job, stopping);
 	}
 
 	/**
@@ -175,26 +146,10 @@
 				this.draft.put(job.in(new JobPhase.Queued(this.draft.now())));
 				releaseWaiters(job.id());
 			}
-			case JobPhase.Holding holding -> end(job, holding.choice(), new EndCause.Reclaimed());
+			case JobPhase.Holding holding -> this.ends.end(job, holding.choice(), new EndCause.Reclaimed());
 		}
 	}
 
-	/**
-	 * Stores that a job is cancelled. Only the holder writes this, so a job never starts
-	 * after it.
-	 */
-	void closeCancelled(Job job) {
-		close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
-	}
-
-	/**
-	 * Stores the last record of a job, or the one with which it waits again.
-	 */
-	void close(Job job, JobRecord last) {
-		this.draft.put(job.in(new JobPhase.Closing(last, this.draft.now() + RETRY_MS)));
-		this.draft.emit(new Effect.Store(last, job.revision()));
-	}
-
 	private void reserve(Job waiting, Choice choice) {
 		Job job = waiting.nextAttempt();
 		long deadline = this.draft.now() + this.draft.timings().commandBoundMs();
@@ -213,12 +168,12 @@
 
 	private void reserved(Job job, JobPhase.Reserving reserving, int member, Either<WorkerFailure, TaskReport> result) {
 		if (result.isLeft()) {
-			unusable(reserving.choice(), member);
-			end(job, reserving.choice(), new EndCause.NotStarted(phrase(result.getLeft())));
+			this.ends.unusable(reserving.choice(), member);
+			this.ends.end(job, reserving.choice(), new EndCause.NotStarted(this.ends.phrase(result.getLeft())));
 			return;
 		}
 		if (result.get().state() != TaskState.RESERVED) {
-			end(job, reserving.choice(), new EndCause.NotStarted("the reservation is gone already"));
+			this.ends.end(job, reserving.choice(), new EndCause.NotStarted("the reservation is gone already"));
 			return;
 		}
 		Set<Integer> reserved = new HashSet<>(reserving.reserved());
@@ -245,7 +200,7 @@
 			case StoreResult.Unavailable _ when job.record().owner().idempotent() ->
 				start(job.stored(record, job.revision()), recording.choice());
 			case StoreResult.Unavailable unavailable ->
-				end(job, recording.choice(), new EndCause.NotStarted(unavailable.reason()));
+				this.ends.end(job, recording.choice(), new EndCause.NotStarted(unavailable.reason()));
 			case StoreResult.Conflict conflict -> conflicted(job, recording, record, conflict);
 		}
 	}
@@ -263,7 +218,7 @@
 			return;
 		}
 		EndCause cause = assigned ? new EndCause.Superseded(current, conflict.revision()) : new EndCause.Cancelled();
-		end(assigned ? job : job.stored(current, conflict.revision()), recording.choice(), cause);
+		this.ends.end(assigned ? job : job.stored(current, conflict.revision()), recording.choice(), cause);
 	}
 
 	private void start(Job job, Choice choice) {
@@ -274,8 +229,8 @@
 
 	private void started(Job job, JobPhase.Starting starting, int member, Either<WorkerFailure, TaskReport> result) {
 		if (result.isLeft()) {
-			unusable(starting.choice(), member);
-			end(job, starting.choice(), new EndCause.Lost(phrase(result.getLeft())));
+			this.ends.unusable(starting.choice(), member);
+			this.ends.end(job, starting.choice(), new EndCause.Lost(this.ends.phrase(result.getLeft())));
 			return;
 		}
 		Set<Integer> started = new HashSet<>(starting.started());
@@ -307,118 +262,16 @@
 		List<String> ordered = IntStream.range(0, members).mapToObj(answers::get).toList();
 		this.draft.emit(new Effect.Note(job.record().done(ordered), running.startedAt() - job.acceptedAt(),
 				now - job.acceptedAt()));
-		close(job, job.record().done(ordered));
+		this.ends.close(job, job.record().done(ordered));
 	}
 
 	private void failed(Job job, Choice choice, int member) {
 		String vm = this.draft.fleet().vm(choice.allocations().get(member).vm()).vm().id();
 		this.draft.failures(this.draft.failures().failed(vm, job.id(), this.draft.now()));
-		end(job.avoiding(vm), choice, new EndCause.Failed(vm));
+		this.ends.end(job.avoiding(vm), choice, new EndCause.Failed(vm));
 		this.draft.refreshUsable();
 	}
 
-	private void ended(Job job, JobPhase.Ending ending, int member, Either<WorkerFailure, TaskReport> result) {
-		if (result.isLeft()) {
-			unusable(ending.choice(), member);
-			return;
-		}
-		Set<Integer> open = new HashSet<>(ending.open());
-		open.remove(member);
-		boolean saved = result.get().state() == TaskState.CHECKPOINTED;
-		long savedMs = Math.min(ending.savedMs(), saved ? result.get().doneMs() : job.record().savedMs());
-		JobPhase.Ending next = new JobPhase.Ending(ending.choice(), ending.cause(), ending.checkpoint(), open, savedMs,
-				ending.checkpointUntil(), ending.lapsedAt());
-		if (open.isEmpty()) {
-			allEnded(job, next);
-		}
-		else {
-			this.draft.put(job.in(next));
-		}
-	}
-
-	private void allEnded(Job job, JobPhase.Ending ending) {
-		this.draft.release(job, ending.choice());
-		if (job.record().state().terminal()) {
-			this.draft.remove(job.id());
-		}
-		else if (job.record().state() == StoredState.CANCELLING) {
-			closeCancelled(job);
-		}
-		else {
-			afterEnd(job, ending);
-		}
-		releaseWaiters(job.id());
-	}
-
-	private void afterEnd(Job job, JobPhase.Ending ending) {
-		boolean attemptsLeft = job.record().owner().idempotent()
-				&& job.record().starts() < job.record().owner().attempts();
-		long saved = (ending.open().isEmpty() && ending.checkpoint()) ? ending.savedMs() : job.record().savedMs();
-		switch (ending.cause()) {
-			case EndCause.NotStarted _ -> this.draft.put(job.in(new JobPhase.Queued(this.draft.now() + RETRY_MS)));
-			case EndCause.Cancelled _ ->
-				close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
-			case EndCause.Superseded superseded -> superseded(job, superseded);
-			case EndCause.Reclaimed _ when keepsProgress(job, ending) -> close(job, job.record().queuedAgain(saved));
-			case EndCause.Reclaimed _ ->
-				close(job, job.record().ended(StoredState.UNKNOWN, "reclaimed without a checkpoint in time"));
-			case EndCause.Lost _ when attemptsLeft -> close(job, job.record().queuedAgain(saved));
-			case EndCause.Lost lost -> close(job, job.record().ended(StoredState.UNKNOWN, lost.reason()));
-			case EndCause.Failed _ when attemptsLeft -> close(job, job.record().queuedAgain(saved));
-			case EndCause.Failed failed ->
-				close(job, job.record().ended(StoredState.FAILED, "a member failed on " + failed.vm()));
-		}
-	}
-
-	/**
-	 * Gives a job up to a newer holder, or takes on what an older one has started.
-	 */
-	private void superseded(Job job, EndCause.Superseded superseded) {
-		this.draft.remove(job.id());
-		if (superseded.record().epoch() < this.draft.epoch()) {
-			adopt(superseded.record(), superseded.revision());
-		}
-	}
-
-	/**
-	 * Whether a reclaimed job may run again: it never ran, or its progress is saved, or
-	 * it is idempotent.
-	 */
-	private static boolean keepsProgress(Job job, JobPhase.Ending ending) {
-		boolean neverStarted = job.record().state() == StoredState.QUEUED;
-		return neverStarted || job.record().owner().idempotent() || (ending.checkpoint() && ending.open().isEmpty());
-	}
-
-	private void closed(Job job, JobPhase.Closing closing, StoreResult result) {
-		switch (result) {
-			case StoreResult.Done done -> settled(job, closing, done.revision());
-			case StoreResult.Unavailable _ when closing.last().state() == StoredState.QUEUED ->
-				settled(job, closing, job.revision());
-			case StoreResult.Unavailable _ ->
-				this.draft.put(job.in(new JobPhase.Closing(closing.last(), this.draft.now() + RETRY_MS)));
-			case StoreResult.Conflict conflict -> closeOver(job, closing, conflict);
-		}
-	}
-
-	private void closeOver(Job job, JobPhase.Closing closing, StoreResult.Conflict conflict) {
-		JobRecord current = conflict.current().getOrElse((JobRecord) null);
-		if (current == null || current.state().terminal() || current.epoch() > this.draft.epoch()) {
-			this.draft.remove(job.id());
-			return;
-		}
-		boolean cancelled = current.state() == StoredState.CANCELLING && !closing.last().state().terminal();
-		JobRecord last = cancelled ? current.ended(StoredState.CANCELLED, "cancelled by the caller") : closing.last();
-		close(job.stored(current, conflict.revision()), last);
-	}
-
-	private void settled(Job job, JobPhase.Closing closing, long revision) {
-		if (closing.last().state().terminal()) {
-			this.draft.remove(job.id());
-			return;
-		}
-		this.draft.put(job.stored(closing.last(), revision).in(new JobPhase.Queued(this.draft.now())));
-	}
-
 	/**
 	 * Lets jobs go on that waited for a job to give its room back.
 	 */
@@ -437,18 +290,6 @@
 		}
 	}
 
-	private void sendEnds(Job job, JobPhase.Ending ending) {
-		EndMode mode = ending.checkpoint() ? EndMode.CHECKPOINT : EndMode.STOP;
-		for (int member : ending.open()) {
-			this.draft
-				.emit(new Effect.End(this.draft.member(job.id(), job.lastAttempt(), member, ending.choice()), mode));
-		}
-	}
-
-	private void unusable(Choice choice, int member) {
-		this.draft.reachable(this.draft.fleet().vm(choice.allocations().get(member).vm()).vm().id(), false);
-	}
-
 	private List<String> vmIds(Choice choice) {
 		return choice.allocations()
 			.stream()
@@ -457,18 +298,4 @@
 			.toList();
 	}
 
-	private static Set<Integer> members(Shape shape) {
-		Set<Integer> members = new HashSet<>();
-		IntStream.range(0, shape.members()).forEach(members::add);
-		return members;
-	}
-
-	private static String phrase(WorkerFailure failure) {
-		return switch (failure) {
-			case WorkerFailure.StaleEpoch stale -> "a newer holder has epoch " + stale.newest();
-			case WorkerFailure.Refused refused -> "refused: " + refused.reason();
-			case WorkerFailure.Unreachable unreachable -> "unreachable: " + unreachable.reason();
-		};
-	}
-
 }
--- a/src/main/java/org/citronrelay/internal/gang/Renewals.java
+++ b/src/main/java/org/citronrelay/internal/gang/Renewals.java
@@ -77,7 +77,7 @@
 		long oldest = this.draft.now() - this.draft.timings().lostAfterMs();
 		for (Job job : this.draft.jobs()) {
 			if (job.phase() instanceof JobPhase.Running running && !running.wholeSince(oldest)) {
-				this.steps.end(job, running.choice(), new EndCause.Lost("a member was not seen for too long"));
+				this.steps.ends().end(job, running.choice(), new EndCause.Lost("a member was not seen for too long"));
 			}
 		}
 	}
@@ -146,7 +146,7 @@
 			String at = this.draft.fleet().vm(running.choice().allocations().get(member).vm()).vm().id();
 			boolean answered = running.answers().containsKey(member);
 			if (at.equals(vm) && !answered && !reported.contains(taskOf(job, member, running.choice()))) {
-				this.steps.end(job, running.choice(), new EndCause.Lost("member " + member + " is gone"));
+				this.steps.ends().end(job, running.choice(), new EndCause.Lost("member " + member + " is gone"));
 				return;
 			}
 		}
--- a/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
+++ b/src/main/java/org/citronrelay/internal/holder/HolderLoop.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,7 +25,6 @@
 import org.citronrelay.internal.platform.KvFailure;
 import org.citronrelay.internal.platform.Vm;
 import org.citronrelay.internal.platform.WorkerTasks;
-import org.citronrelay.internal.platform.WorkerTasks.WorkerFailure;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
 
@@ -51,8 +48,6 @@
 
 	private static final long JOBS_WATCH_MS = 10_000;
 
-	private static final int FENCE_ROUNDS = 3;
-
 	/**
 	 * Long ago, and far enough from the least number that differences do not overflow.
 	 */
@@ -76,6 +71,8 @@
 
 	private final Caretaker caretaker;
 
+	private final Fencing fencing;
+
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
 	private final BlockingQueue<DomainEvent> events = new LinkedBlockingQueue<>();
@@ -103,6 +100,7 @@
 		this.failureDomain = failureDomain;
 		this.notes = notes;
 		this.caretaker = new Caretaker(workers, timings);
+		this.fencing = new Fencing(lease, workers, this.executor, ticker);
 		this.state = new AtomicReference<>(DomainState.empty(failureDomain, EffectRunner.NO_EPOCH, timings));
 	}
 
@@ -209,12 +207,13 @@
 	}
 
 	private void hold(Holding first) {
-		Option<Fenced> fence = fence(first);
+		Option<Fencing.Fenced> fence = this.fencing.fence(first, this.sources.vms());
 		if (fence.isEmpty()) {
 			this.lease.release(first);
 			return;
 		}
 		Holding holding = fence.get().holding();
+		this.newestEpoch.accumulateAndGet(holding.epoch(), Math::max);
 		Either<KvFailure, JobStore.Listing> listing = this.jobs.list(this.failureDomain);
 		if (listing.isLeft()) {
 			this.lease.release(holding);
@@ -268,56 +267,6 @@
 		return batch;
 	}
 
-	/**
-	 * Raises the epoch of every worker that answers, before the first decision. Where one
-	 * has seen a newer epoch, as after the service went back to an older copy, a newer
-	 * one is taken.
-	 */
-	private Option<Fenced> fence(Holding first) {
-		Holding holding = first;
-		for (int round = 0; round < FENCE_ROUNDS; round++) {
-			this.newestEpoch.accumulateAndGet(holding.epoch(), Math::max);
-			List<DomainEvent.Renewed> answers = fenceAll(holding.epoch());
-			long newest = answers.stream().mapToLong(HolderLoop::newestSeen).max().orElse(0);
-			if (newest <= holding.epoch()) {
-				return Option.some(new Fenced(holding, answers));
-			}
-			Either<KvFailure, Long> next = this.lease.nextEpoch(newest);
-			if (next.isLeft()) {
-				return Option.none();
-			}
-			holding = new Holding(next.get(), holding.lease(), holding.confirmedUntil());
-		}
-		return Option.none();
-	}
-
-	private List<DomainEvent.Renewed> fenceAll(long epoch) {
-		long sentAt = this.ticker.millis();
-		List<Future<DomainEvent.Renewed>> calls = new ArrayList<>();
-		for (Vm vm : this.sources.vms()) {
-			calls.add(this.executor
-				.submit(() -> new DomainEvent.Renewed(vm.id(), sentAt, this.workers.fence(vm.address(), epoch))));
-		}
-		List<DomainEvent.Renewed> answers = new ArrayList<>();
-		for (Future<DomainEvent.Renewed> call : calls) {
-			try {
-				answers.add(call.get());
-			}
-			catch (ExecutionException ex) {
-				throw new IllegalStateException(ex.getCause());
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
-		}
-		return answers;
-	}
-
-	private static long newestSeen(DomainEvent.Renewed answer) {
-		boolean stale = answer.result().isLeft() && answer.result().getLeft() instanceof WorkerFailure.StaleEpoch;
-		return stale ? ((WorkerFailure.StaleEpoch) answer.result().getLeft()).newest() : 0;
-	}
-
 	private void renewLease(String leaseId) {
 		while (!this.closing && this.tenancy.get() instanceof Holding holding && holding.lease().equals(leaseId)) {
 			confirm(holding);
@@ -398,7 +347,4 @@
 
 	}
 
-	private record Fenced(Holding holding, List<DomainEvent.Renewed> answers) {
-	}
-
 }
--- /dev/null
+++ b/src/test/java/org/citronrelay/ArchitectureTests.java
@@ -0,0 +1,71 @@
+package org.citronrelay;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Rules of the layout that a reader may rely on.
+ */
+class ArchitectureTests {
+
+	private static final String[] DECIDING = { "org.citronrelay.internal.gang..",
+			"org.citronrelay.internal.placement.." };
+
+	private final JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+		.importPackages("org.citronrelay");
+
+	@Test
+	void whatDecidesReadsNoClockAndWritesNoLog() {
+		ArchRuleDefinition.noClasses()
+			.that()
+			.resideInAnyPackage(DECIDING)
+			.should()
+			.callMethod(System.class, "nanoTime")
+			.orShould()
+			.callMethod(System.class, "currentTimeMillis")
+			.orShould()
+			.dependOnClassesThat()
+			.resideInAnyPackage("java.time..", "org.slf4j..", "org.citronrelay.internal.time..",
+					"org.citronrelay.internal.logging..", "java.util.concurrent..", "org.glassfish..")
+			.check(this.classes);
+	}
+
+	@Test
+	void accessorsHaveNoGet() {
+		ArchRuleDefinition.noMethods()
+			.that()
+			.areDeclaredInClassesThat()
+			.resideInAPackage("org.citronrelay..")
+			.should()
+			.haveNameMatching("get[A-Z].*")
+			.check(this.classes);
+	}
+
+	@Test
+	void noProcessStartsAnother() {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.dependOnClassesThat()
+			.areAssignableTo(ProcessBuilder.class)
+			.orShould()
+			.callMethod(Runtime.class, "exec", String[].class)
+			.check(this.classes);
+	}
+
+	@Test
+	void thePublicSurfaceDoesNotShowTheMachinery() {
+		ArchRuleDefinition.noClasses()
+			.that()
+			.resideInAPackage("org.citronrelay")
+			.and()
+			.doNotHaveSimpleName("Citronrelay")
+			.should()
+			.dependOnClassesThat()
+			.resideInAPackage("org.citronrelay.internal..")
+			.check(this.classes);
+	}
+
+}
