--- a/src/main/java/org/citronrelay/internal/claim/ClaimDesk.java
+++ b/src/main/java/org/citronrelay/internal/claim/ClaimDesk.java
@@ -18,6 +18,7 @@
 import org.citronrelay.internal.platform.KeyValueService;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.platform.KvFailure;
+import org.citronrelay.internal.platform.SharedLease;
 import org.citronrelay.internal.time.Ticker;
 
 /**
@@ -46,7 +47,7 @@
 
 	private final String process;
 
-	private final ClaimLease lease;
+	private final SharedLease lease;
 
 	private final AtomicLong newestRevision = new AtomicLong();
 
@@ -58,7 +59,7 @@
 		this.peers = peers;
 		this.ticker = ticker;
 		this.process = process;
-		this.lease = new ClaimLease(kv);
+		this.lease = new SharedLease(kv);
 	}
 
 	/**
@@ -191,7 +192,7 @@
 	}
 
 	private boolean recentlyRestored() {
-		return this.ticker.millis() - this.restoredAt.get() < ClaimLease.KEPT_MS;
+		return this.ticker.millis() - this.restoredAt.get() < SharedLease.KEPT_MS;
 	}
 
 	private Claimed resolve(String key, Claim mine, KvFailure failure) {
--- a/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
+++ b/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
@@ -50,6 +50,7 @@
 import org.citronrelay.internal.pipeline.RequestContext;
 import org.citronrelay.internal.pipeline.RequestFilter;
 import org.citronrelay.internal.pipeline.SlotFilter;
+import org.citronrelay.internal.pipeline.StoppingFilter;
 import org.citronrelay.internal.pipeline.TeamLimitFilter;
 import org.citronrelay.internal.platform.HttpKeyValueService;
 import org.citronrelay.internal.platform.HttpVmList;
@@ -154,7 +155,7 @@
 		this.peers = new PeerNode(settings.peers(), this::answerPeer);
 		this.peerDesk = new PeerDesk(this.peers, this.table, this.executor, this.ticker, settings.failureDomain());
 		this.claims = new ClaimDesk(this.kv, this.ledger, this.peerDesk, this.ticker, this.process);
-		JobStore jobStore = new JobStore(this.kv);
+		JobStore jobStore = new JobStore(this.kv, this.ticker);
 		this.holder = new HolderLoop(new DomainLease(this.kv, this.ticker, settings.failureDomain(), this.process),
 				jobStore, new HttpWorkerTasks(this.client, settings.workerTimeoutMs()), new DomainSources(),
 				this.ticker, settings.timings(), settings.failureDomain(), this::note);
@@ -225,10 +226,10 @@
 	}
 
 	private Function<RequestContext, Outcome> pipeline() {
-		return RequestFilter.chain(List.of(new MeasureFilter(this.registry, this.levels, this.ticker),
-				new KnownKeyFilter(this.claims), new TeamLimitFilter(this.teamGate, this::entries),
-				new SlotFilter(this.slotGate, this.ticker), new ClaimFilter(this.claims)),
-				new DispatchStage(this.dispatcher));
+		return RequestFilter.chain(List.of(new StoppingFilter(() -> this.refusing),
+				new MeasureFilter(this.registry, this.levels, this.ticker), new KnownKeyFilter(this.claims),
+				new TeamLimitFilter(this.teamGate, this::entries), new SlotFilter(this.slotGate, this.ticker),
+				new ClaimFilter(this.claims)), new DispatchStage(this.dispatcher));
 	}
 
 	private HttpReply handle(Router router, HttpCall call) {
--- a/src/main/java/org/citronrelay/internal/holder/JobStore.java
+++ b/src/main/java/org/citronrelay/internal/holder/JobStore.java
@@ -14,6 +14,8 @@
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.platform.KvFailure;
+import org.citronrelay.internal.platform.SharedLease;
+import org.citronrelay.internal.time.Ticker;
 
 /**
  * The records of jobs in the key-value service.
@@ -26,8 +28,14 @@
 
 	private final KeyValueService kv;
 
-	public JobStore(KeyValueService kv) {
+	private final SharedLease endedLease;
+
+	private final Ticker ticker;
+
+	public JobStore(KeyValueService kv, Ticker ticker) {
 		this.kv = kv;
+		this.endedLease = new SharedLease(kv);
+		this.ticker = ticker;
 	}
 
 	/**
@@ -43,8 +51,7 @@
 	 */
 	public Either<KvFailure, String> pin(String key, String value) {
 		byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-		Either<KvFailure, KvEntry> written = this.kv.write(PINS + key, bytes, Expectation.absent(),
-				KeyValueService.NO_LEASE);
+		Either<KvFailure, KvEntry> written = this.kv.write(PINS + key, bytes, Expectation.absent(), lapsing());
 		if (written.isRight()) {
 			return Either.right(value);
 		}
@@ -86,7 +93,8 @@
 		byte[] bytes = record.bytes();
 		StoreResult result = new StoreResult.Unavailable("not tried");
 		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-			Either<KvFailure, KvEntry> written = this.kv.write(key, bytes, expectation, KeyValueService.NO_LEASE);
+			String lease = record.state().terminal() ? lapsing() : KeyValueService.NO_LEASE;
+			Either<KvFailure, KvEntry> written = this.kv.write(key, bytes, expectation, lease);
 			if (written.isRight()) {
 				return new StoreResult.Done(written.get().revision());
 			}
@@ -94,13 +102,22 @@
 				case KvFailure.Conflict conflict -> {
 					return conflicted(bytes, conflict);
 				}
-				case KvFailure.Unavailable _, KvFailure.Ambiguous _, KvFailure.LeaseGone _ ->
+				case KvFailure.LeaseGone gone -> this.endedLease.lost(gone.lease());
+				case KvFailure.Unavailable _, KvFailure.Ambiguous _ ->
 					result = new StoreResult.Unavailable(written.getLeft().phrase());
 			}
 		}
 		return result;
 	}
 
+	/**
+	 * The lease of what is needed for a day only, none where it cannot be had: a value
+	 * that stays too long does less harm than one that is not stored.
+	 */
+	private String lapsing() {
+		return this.endedLease.current(this.ticker.millis()).getOrElse(KeyValueService.NO_LEASE);
+	}
+
 	/**
 	 * A conflict with our own bytes is a write of ours whose reply was lost.
 	 */
--- a/src/test/java/org/citronrelay/internal/catalogue/CatalogueStoreTests.java
+++ b/src/test/java/org/citronrelay/internal/catalogue/CatalogueStoreTests.java
@@ -10,6 +10,7 @@
 
 import org.citronrelay.Catalogue;
 import org.citronrelay.Findings;
+import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.standin.KvStore;
 import org.citronrelay.testing.FaultyKv;
 import org.citronrelay.testing.Fixtures;
@@ -118,6 +119,21 @@
 		assertThat(again).isNotEqualTo(first);
 	}
 
+	@Test
+	void aNewOperatorTakesOverFromTheExportAlone() {
+		// given
+		CatalogueStore old = store(kv(1));
+		Catalogue exported = ((ApplyResult.Accepted) old.apply(document("alpha", 50), 0, "old", 0)).version()
+			.catalogue();
+		FaultyKv empty = new FaultyKv(new KvStore(), () -> 0, new SplittableRandom(1));
+
+		// when
+		ApplyResult imported = store(empty).apply(Json.bytes(CatalogueWriter.write(exported)), 0, "new", 0);
+
+		// then
+		assertThat(((ApplyResult.Accepted) imported).version().catalogue()).isEqualTo(exported);
+	}
+
 	@Test
 	void allFaultsOfADocumentAreReportedTogetherWithTheirPlaces() {
 		// when
--- a/src/test/java/org/citronrelay/internal/gang/VirtualDomain.java
+++ b/src/test/java/org/citronrelay/internal/gang/VirtualDomain.java
@@ -77,7 +77,7 @@
 		this.catalogue = catalogue;
 		this.vms = vms;
 		this.kv = new FaultyKv(this.store, () -> this.now, this.random);
-		this.jobs = new JobStore(this.kv);
+		this.jobs = new JobStore(this.kv, () -> this.now);
 		vms.forEach(this::restart);
 		newHolder();
 	}
