--- a/src/main/java/org/citronrelay/internal/cli/CatalogueCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/CatalogueCommands.java
@@ -13,8 +13,10 @@
 import org.citronrelay.Catalogue;
 import org.citronrelay.Findings;
 import org.citronrelay.internal.catalogue.CatalogueReader;
+import org.citronrelay.internal.catalogue.CatalogueWriter;
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.Problem;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.report.BurnReport;
 import org.citronrelay.internal.time.Pause;
@@ -46,7 +48,9 @@
 	List<Command> commands() {
 		return List.of(
 				new Command("catalogue validate", "", "Checks a catalogue without applying it.",
-						new Options().addOption(Flags.required(Flags.FILE, "FILE", "The catalogue.")), this::validate),
+						new Options().addOption(Flags.required(Flags.FILE, "FILE", "The catalogue."))
+							.addOption(Flags.output()),
+						this::validate),
 				new Command("catalogue apply", "", "Applies a catalogue.", Flags.client()
 					.addOption(Flags.required(Flags.FILE, "FILE", "The catalogue."))
 					.addOption(Flags.required(BASE, "NUMBER", "The version that was edited, 0 for the first."))
@@ -64,12 +68,19 @@
 
 	private int validate(CommandLine line) throws UsageException {
 		Either<Findings, Catalogue> read = CatalogueReader.read(Flags.file(line, Flags.FILE));
-		if (read.isLeft()) {
+		if (Flags.json(line)) {
+			JsonNode body = read.isLeft() ? Problem.findings("catalogue", read.getLeft()).body()
+					: CatalogueWriter.write(read.get());
+			this.out.println(Json.pretty(body));
+		}
+		else if (read.isLeft()) {
 			this.err.println(read.getLeft().text());
-			return Program.FAILED;
 		}
-		this.out.println("The catalogue is well-formed. Whether the fleet can hold it is checked when it is applied.");
-		return 0;
+		else {
+			this.out
+				.println("The catalogue is well-formed. Whether the fleet can hold it is checked when it is applied.");
+		}
+		return read.isLeft() ? Program.FAILED : 0;
 	}
 
 	private int apply(CommandLine line) throws UsageException {
--- a/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
@@ -14,6 +14,7 @@
 import org.citronrelay.internal.bench.Bench;
 import org.citronrelay.internal.demo.Demo;
 import org.citronrelay.internal.entry.EntryProcess;
+import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.logging.LogSetup;
 import org.citronrelay.internal.settings.EntrySettings;
 import org.citronrelay.internal.settings.LogSettings;
@@ -51,7 +52,8 @@
 						this::demo),
 				new Command("bench", "GROUP", "Runs the benchmarks of a group: decisions, path or capacity.",
 						new Options(), this::bench),
-				new Command("version", "", "Prints the version.", new Options(), this::version));
+				new Command("version", "", "Prints the version.", new Options().addOption(Flags.output()),
+						this::version));
 	}
 
 	private int entry(CommandLine line) {
@@ -123,9 +125,11 @@
 		return 0;
 	}
 
-	private int version(CommandLine line) {
-		String version = Program.class.getPackage().getImplementationVersion();
-		this.out.println("citronrelay " + ((version != null) ? version : "unpackaged"));
+	private int version(CommandLine line) throws UsageException {
+		String packaged = Program.class.getPackage().getImplementationVersion();
+		String version = (packaged != null) ? packaged : "unpackaged";
+		this.out
+			.println(Flags.json(line) ? Json.pretty(Json.object().put("version", version)) : "citronrelay " + version);
 		return 0;
 	}
 
--- a/src/main/java/org/citronrelay/internal/cli/Flags.java
+++ b/src/main/java/org/citronrelay/internal/cli/Flags.java
@@ -45,7 +45,11 @@
 	static Options client() {
 		return new Options().addOption(required(ENTRY, "HOST:PORT", "The entry process to call."))
 			.addOption(optional(TOKEN, "TOKEN", "The token; the variable CITRONRELAY_TOKEN where it is not given."))
-			.addOption(optional(OUTPUT, "FORM", "text (the standard) or json."));
+			.addOption(output());
+	}
+
+	static Option output() {
+		return optional(OUTPUT, "FORM", "text (the standard) or json.");
 	}
 
 	static Address address(CommandLine line, String name) throws UsageException {
