State once when a job may start again and how it is cancelled

Cause: reading the whole change: the rule on a further start and the record of a confirmed cancellation stood in both GangEnd and Adoption. Change: JobRecord.mayStartAgain and JobRecord.cancelled serve both. Conclusion: behaviour unchanged.

--- a/src/main/java/org/citronrelay/internal/gang/Adoption.java
+++ b/src/main/java/org/citronrelay/internal/gang/Adoption.java
@@ -76,10 +76,10 @@
 	 */
 	private static JobRecord lostRecord(JobRecord record) {
 		if (record.state() == StoredState.CANCELLING) {
-			return record.ended(StoredState.CANCELLED, "cancelled by the caller");
+			return record.cancelled();
 		}
-		boolean again = record.owner().idempotent() && record.starts() < record.owner().attempts();
-		return again ? record.queuedAgain(record.savedMs()) : record.ended(StoredState.UNKNOWN, "its VMs are gone");
+		return record.mayStartAgain() ? record.queuedAgain(record.savedMs())
+				: record.ended(StoredState.UNKNOWN, "its VMs are gone");
 	}
 
 	private Choice choiceOf(JobRecord record) {
--- a/src/main/java/org/citronrelay/internal/gang/GangEnd.java
+++ b/src/main/java/org/citronrelay/internal/gang/GangEnd.java
@@ -72,7 +72,7 @@
 	 * after it.
 	 */
 	void closeCancelled(Job job) {
-		close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
+		close(job, job.record().cancelled());
 	}
 
 	/**
@@ -148,13 +148,11 @@
 	}
 
 	private void afterEnd(Job job, JobPhase.Ending ending) {
-		boolean attemptsLeft = job.record().owner().idempotent()
-				&& job.record().starts() < job.record().owner().attempts();
+		boolean attemptsLeft = job.record().mayStartAgain();
 		long saved = (ending.open().isEmpty() && ending.checkpoint()) ? ending.savedMs() : job.record().savedMs();
 		switch (ending.cause()) {
 			case EndCause.NotStarted _ -> this.draft.put(job.in(new JobPhase.Queued(this.draft.now() + RETRY_MS)));
-			case EndCause.Cancelled _ ->
-				close(job, job.record().ended(StoredState.CANCELLED, "cancelled by the caller"));
+			case EndCause.Cancelled _ -> close(job, job.record().cancelled());
 			case EndCause.Superseded superseded -> superseded(job, superseded);
 			case EndCause.Reclaimed _ when keepsProgress(job, ending) -> close(job, job.record().queuedAgain(saved));
 			case EndCause.Reclaimed _ ->
@@ -193,7 +191,7 @@
 			return;
 		}
 		boolean cancelled = current.state() == StoredState.CANCELLING && !closing.last().state().terminal();
-		JobRecord last = cancelled ? current.ended(StoredState.CANCELLED, "cancelled by the caller") : closing.last();
+		JobRecord last = cancelled ? current.cancelled() : closing.last();
 		close(job.stored(current, conflict.revision()), last);
 	}
 
--- a/src/main/java/org/citronrelay/internal/gang/JobRecord.java
+++ b/src/main/java/org/citronrelay/internal/gang/JobRecord.java
@@ -80,6 +80,20 @@
 				this.starts, this.epoch, List.of(), this.savedMs, newAnswers, "");
 	}
 
+	/**
+	 * The record of a job whose cancellation its holder confirms.
+	 */
+	JobRecord cancelled() {
+		return ended(StoredState.CANCELLED, "cancelled by the caller");
+	}
+
+	/**
+	 * Whether the job may be started once more after it is not known how it ended.
+	 */
+	boolean mayStartAgain() {
+		return this.owner.idempotent() && this.starts < this.owner.attempts();
+	}
+
 	/**
 	 * The record in another state without an answer.
 	 */
