--- a/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
@@ -6,18 +6,23 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
 
 import io.vavr.control.Either;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.citronrelay.Findings;
 import org.citronrelay.internal.bench.Bench;
+import org.citronrelay.internal.cluster.ClusterProcess;
+import org.citronrelay.internal.cluster.ClusterSettings;
 import org.citronrelay.internal.demo.Demo;
 import org.citronrelay.internal.entry.EntryProcess;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.logging.LogSetup;
+import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.settings.EntrySettings;
 import org.citronrelay.internal.settings.LogSettings;
+import org.citronrelay.platform.PlatformAdapter;
 import sun.misc.Signal;
 
 /**
@@ -46,6 +51,14 @@
 						new Options().addOption(Flags.required(SETTINGS, "FILE", "The settings in JSON."))
 							.addOption(Flags.flag(CHECK, "Only checks the settings.")),
 						this::entry),
+				new Command("cluster", "", "Runs a process of a cluster on the users' platform.",
+						new Options()
+							.addOption(Flags.optional(SETTINGS, "FILE",
+									"The settings in JSON, by standard the file that the platform names."))
+							.addOption(Flags.flag(CHECK, "Only checks the settings.")),
+						this::cluster),
+				new Command("warm-up", "", "Loads what a process of a cluster uses, for making a class archive.",
+						new Options(), (line) -> new WarmUp().run()),
 				new Command("demo", "[EXAMPLE]", "Runs an example with all parts in this process.",
 						new Options().addOption(
 								Flags.optional(EXAMPLES, "FOLDER", "Where the examples are, examples by standard.")),
@@ -59,9 +72,7 @@
 	private int entry(CommandLine line) {
 		Either<Findings, EntrySettings> settings = EntrySettings.read(Path.of(line.getOptionValue(SETTINGS)));
 		if (settings.isLeft()) {
-			this.err.println("The settings have " + settings.getLeft().list().size() + " finding(s):");
-			this.err.println(settings.getLeft().text());
-			return Program.WRONG_USE;
+			return wrongSettings(settings.getLeft());
 		}
 		if (line.hasOption(CHECK)) {
 			this.out.println("The settings are good.");
@@ -71,25 +82,69 @@
 		return serve(settings.get());
 	}
 
+	private int cluster(CommandLine line) throws UsageException {
+		String file = line.getOptionValue(SETTINGS, System.getenv(PlatformAdapter.SETTINGS_VARIABLE));
+		if (file == null) {
+			throw new UsageException("there is no settings file.", "Give --settings FILE.");
+		}
+		Either<Findings, ClusterSettings> settings = ClusterSettings.read(Path.of(file));
+		if (settings.isLeft()) {
+			return wrongSettings(settings.getLeft());
+		}
+		if (line.hasOption(CHECK)) {
+			this.out.println("The settings are good.");
+			return 0;
+		}
+		setUpLogs(settings.get().log());
+		ClusterProcess process = new ClusterProcess(settings.get(), new PlatformAdapter());
+		Signal.handle(new Signal("HUP"), (signal) -> reload(Path.of(file), settings.get()));
+		return serve(process::start, process::stop, process::inProgress);
+	}
+
+	/**
+	 * Settings take effect at the next start; a change is checked and said at once.
+	 */
+	private static void reload(Path file, ClusterSettings running) {
+		ClusterSettings.read(file)
+			.peek((settings) -> Part.ENTRY.logger()
+				.atInfo()
+				.addKeyValue("changed", !settings.equals(running))
+				.log("Read the settings again."))
+			.peekLeft((findings) -> Part.ENTRY.logger()
+				.atError()
+				.addKeyValue("findings", findings.text())
+				.log("The changed settings are wrong; those before stay in force."));
+	}
+
+	private int wrongSettings(Findings findings) {
+		this.err.println("The settings have " + findings.list().size() + " finding(s):");
+		this.err.println(findings.text());
+		return Program.WRONG_USE;
+	}
+
 	private int serve(EntrySettings settings) {
 		EntryProcess process = new EntryProcess(settings);
+		return serve(process::start, process::stop, process::inProgress);
+	}
+
+	private int serve(Runnable start, IntSupplier stopPlanned, IntSupplier inProgress) {
 		AtomicInteger cut = new AtomicInteger();
 		CountDownLatch stopped = new CountDownLatch(1);
 		AtomicBoolean stopping = new AtomicBoolean();
 		Runnable stop = () -> {
 			if (stopping.compareAndSet(false, true)) {
-				cut.set(process.stop());
+				cut.set(stopPlanned.getAsInt());
 				stopped.countDown();
 			}
 			else {
-				cut.set(process.inProgress());
+				cut.set(inProgress.getAsInt());
 				this.err.println("Stopped at once, " + cut.get() + " calls were cut.");
 				stopped.countDown();
 			}
 		};
 		Signal.handle(new Signal("TERM"), (signal) -> stop.run());
 		Signal.handle(new Signal("INT"), (signal) -> stop.run());
-		process.start();
+		start.run();
 		await(stopped);
 		return (cut.get() == 0) ? 0 : Program.FAILED;
 	}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchDesk.java
@@ -0,0 +1,127 @@
+package org.citronrelay.internal.cluster;
+
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.citronrelay.internal.batch.BatchJob;
+import org.citronrelay.internal.batch.JobCodec;
+import org.citronrelay.internal.cluster.ClusterStore.Put;
+import org.citronrelay.internal.cluster.ClusterStore.Transaction;
+import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.platform.KvEntry;
+import org.citronrelay.internal.schedule.JobPhase;
+import org.citronrelay.internal.schedule.ProgressCodec;
+
+/**
+ * Takes jobs in, and tells what became of them. It keeps nothing: what it says is what
+ * the store holds.
+ */
+public final class BatchDesk {
+
+	/** When to come back while the store does not answer, in milliseconds. */
+	private static final long STORE_AWAY_MS = 1_000;
+
+	/** How many times a write without an answer is repeated before the caller is told. */
+	private static final int WRITES = 3;
+
+	private static final byte[] MARK = { '1' };
+
+	private final ClusterStore store;
+
+	public BatchDesk(ClusterStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Stores a job, once for each id.
+	 */
+	public Submission submit(BatchJob job) {
+		return switch (create(Keys.JOBS + job.id(), JobCodec.encode(job))) {
+			case Created.Yes _ -> new Submission.Accepted();
+			case Created.No no -> new Submission.Refused(no.reason(), STORE_AWAY_MS);
+			case Created.Open open -> new Submission.Unknown(open.reason());
+		};
+	}
+
+	/**
+	 * Takes a job back; nothing where there is no such job.
+	 */
+	public Either<String, Option<JobPhase>> cancel(String id) {
+		return phase(id).flatMap((phase) -> {
+			if (phase.isEmpty() || phase.get().ended()) {
+				return Either.right(phase);
+			}
+			return switch (create(Keys.CANCELS + id, MARK)) {
+				case Created.Yes _ -> Either.right(Option.some(JobPhase.CANCELLED));
+				case Created.No no -> Either.left(no.reason());
+				case Created.Open open -> Either.left(open.reason());
+			};
+		});
+	}
+
+	/**
+	 * How far a job is; nothing where there is no such job, the reason where that is not
+	 * known.
+	 */
+	public Either<String, Option<JobPhase>> phase(String id) {
+		Either<StoreFailure, Option<KvEntry>> progress = this.store.read(Keys.PROGRESS + id);
+		if (progress.isLeft()) {
+			return Either.left(progress.getLeft().phrase());
+		}
+		if (progress.get().isDefined()) {
+			return Either.right(progress.get().map((entry) -> ProgressCodec.phase(entry.value())));
+		}
+		return this.store.read(Keys.JOBS + id)
+			.mapLeft(StoreFailure::phrase)
+			.map((job) -> job.map((entry) -> JobPhase.QUEUED));
+	}
+
+	/**
+	 * How many jobs of a queue have not begun, as the coordinator last counted.
+	 */
+	public Either<String, Integer> waiting(String queue) {
+		return this.store.read(Keys.WAITING)
+			.mapLeft(StoreFailure::phrase)
+			.map((entry) -> entry.map((found) -> Json.parseOwn(found.value()))
+				.map((JsonNode counts) -> counts.path(queue).asInt())
+				.getOrElse(0));
+	}
+
+	private Created create(String key, byte[] value) {
+		Transaction create = new Transaction(Map.of(key, 0L), List.of(new Put(key, value, "")), List.of());
+		StoreFailure open = null;
+		for (int attempt = 0; attempt < WRITES; attempt++) {
+			Either<StoreFailure, Long> written = this.store.transact(create);
+			if (written.isRight() || written.getLeft() instanceof StoreFailure.Conflict) {
+				return new Created.Yes();
+			}
+			if (written.getLeft() instanceof StoreFailure.Ambiguous) {
+				open = written.getLeft();
+			}
+			else if (open == null) {
+				return new Created.No(written.getLeft().phrase());
+			}
+		}
+		return new Created.Open(open.phrase());
+	}
+
+	/**
+	 * Whether a key that is written once is there.
+	 */
+	private sealed interface Created {
+
+		record Yes() implements Created {
+		}
+
+		record No(String reason) implements Created {
+		}
+
+		record Open(String reason) implements Created {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
@@ -0,0 +1,139 @@
+package org.citronrelay.internal.cluster;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+
+import io.vavr.control.Either;
+import org.citronrelay.Findings;
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.json.FindingCollector;
+import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.json.JsonCursor;
+import org.citronrelay.internal.schedule.ScheduleTimings;
+import org.citronrelay.internal.settings.LogSettings;
+
+/**
+ * The settings of one process of a cluster.
+ *
+ * @param process the name of this process, unique in the cluster
+ * @param failureDomain its failure domain
+ * @param listen where it listens
+ * @param store where the store is
+ * @param seeds peers that may be asked before others are known
+ * @param coordination the bounds of the coordinator
+ * @param stopWithinMs how long a planned stop may take, in milliseconds
+ * @param keepEndedMs how long ended jobs are known, in milliseconds
+ * @param log how logs are written
+ */
+public record ClusterSettings(String process, String failureDomain, Listen listen, Address store, List<Address> seeds,
+		Coordination coordination, long stopWithinMs, long keepEndedMs, LogSettings log) {
+
+	private static final Address NOWHERE = new Address("0.0.0.0", 1);
+
+	private static final double MILLIS = 1_000;
+
+	public ClusterSettings {
+		Objects.requireNonNull(process, "process");
+		seeds = List.copyOf(seeds);
+	}
+
+	/**
+	 * Reads a file.
+	 */
+	public static Either<Findings, ClusterSettings> read(Path file) {
+		try {
+			return Json.parse(Files.readAllBytes(file)).flatMap((node) -> {
+				FindingCollector collector = new FindingCollector();
+				ClusterSettings settings = read(JsonCursor.root(node, collector));
+				return collector.outcome(settings);
+			});
+		}
+		catch (IOException ex) {
+			return Either.left(Findings.of("", file.toString(), "a readable file: " + ex.getMessage()));
+		}
+	}
+
+	private static ClusterSettings read(JsonCursor cursor) {
+		JsonCursor listen = cursor.object("listen");
+		Listen addresses = new Listen(address(listen, "callers"), address(listen, "balancer"), address(listen, "peers"),
+				address(listen, "metrics"));
+		listen.end();
+		List<Address> seeds = cursor.texts("seeds")
+			.stream()
+			.flatMap((text) -> Address.parse(text).toJavaStream())
+			.toList();
+		ClusterSettings settings = new ClusterSettings(cursor.text("process"), cursor.text("failureDomain"), addresses,
+				address(cursor, "store"), seeds, coordination(cursor.object("coordination")),
+				seconds(cursor, "stopWithinSeconds", 5), seconds(cursor, "keepEndedSeconds", 120),
+				LogSettings.read(cursor.object("log")));
+		cursor.end();
+		return settings;
+	}
+
+	private static Coordination coordination(JsonCursor cursor) {
+		Coordination standard = Coordination.DEFAULT;
+		long longest = cursor.longInteger("longestLeaseMs", 1_000, 600_000, standard.longestLeaseMs());
+		Coordination read = new Coordination(cursor.longInteger("termMs", 500, 60_000, standard.termMs()),
+				Math.min(longest, cursor.longInteger("leaseMs", 1_000, 600_000, longest)), longest,
+				cursor.longInteger("renewWaitMs", 0, 2_000, standard.renewWaitMs()),
+				cursor.longInteger("retryMs", 50, 10_000, standard.retryMs()),
+				cursor.longInteger("stallMs", 500, 600_000, standard.stallMs()),
+				cursor.longInteger("benchMs", 100, 600_000, standard.benchMs()));
+		cursor.end();
+		return read;
+	}
+
+	private static long seconds(JsonCursor cursor, String field, double fallback) {
+		return (long) (MILLIS * cursor.number(field, 0, 86_400, fallback));
+	}
+
+	private static Address address(JsonCursor cursor, String field) {
+		String text = cursor.text(field);
+		return Address.parse(text).getOrElse(() -> {
+			if (!text.isEmpty()) {
+				cursor.collector()
+					.add(cursor.pointer(field), "\"" + text + "\"", "an IP number and port, as 10.0.0.1:8080");
+			}
+			return NOWHERE;
+		});
+	}
+
+	/**
+	 * Where a process listens.
+	 *
+	 * @param callers for callers
+	 * @param balancer for the balancer's readiness checks
+	 * @param peers for other processes of the cluster
+	 * @param metrics for whoever collects metrics
+	 */
+	public record Listen(Address callers, Address balancer, Address peers, Address metrics) {
+	}
+
+	/**
+	 * The bounds of the coordinator, in milliseconds.
+	 *
+	 * @param termMs how long a coordinator stays in office without renewal
+	 * @param leaseMs how long VMs run tasks without hearing from the coordinator
+	 * @param longestLeaseMs the longest lease that a VM grants
+	 * @param renewWaitMs how long a VM may wait for an end before it answers a renewal
+	 * @param retryMs how long until an unanswered order is given again
+	 * @param stallMs how long a task may stand still before it is moved
+	 * @param benchMs how long a failing VM gets nothing new
+	 */
+	public record Coordination(long termMs, long leaseMs, long longestLeaseMs, long renewWaitMs, long retryMs,
+			long stallMs, long benchMs) {
+
+		/** What holds where the settings name nothing. */
+		public static final Coordination DEFAULT = new Coordination(2_000, 10_000, 10_000, 1_500, 400, 3_500, 5_000);
+
+		ScheduleTimings timings() {
+			return new ScheduleTimings(this.leaseMs, this.longestLeaseMs, this.renewWaitMs, this.retryMs, this.stallMs,
+					this.benchMs);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/Members.java
@@ -0,0 +1,81 @@
+package org.citronrelay.internal.cluster;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.citronrelay.internal.cluster.ClusterStore.Put;
+import org.citronrelay.internal.cluster.ClusterStore.Transaction;
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.logging.Part;
+import org.citronrelay.internal.time.Pause;
+
+/**
+ * The processes of the cluster, each registered under a lease of its own.
+ */
+final class Members {
+
+	/** How long a process that went away stays registered, in milliseconds. */
+	private static final long REGISTERED_MS = 15_000;
+
+	/** The time between two renewals, in milliseconds. */
+	private static final long RENEW_MS = 4_000;
+
+	private final ClusterSettings settings;
+
+	private final AtomicReference<List<Address>> others = new AtomicReference<>();
+
+	private String lease = "";
+
+	Members(ClusterSettings settings) {
+		this.settings = settings;
+		this.others.set(settings.seeds().stream().filter((seed) -> !seed.equals(settings.listen().peers())).toList());
+	}
+
+	/**
+	 * Where the other processes are reached, as far as is known.
+	 */
+	List<Address> others() {
+		return this.others.get();
+	}
+
+	void start(ClusterStore store) {
+		Thread.ofVirtual().name("members").start(() -> {
+			do {
+				refresh(store);
+			}
+			while (Pause.millis(RENEW_MS));
+		});
+	}
+
+	private void refresh(ClusterStore store) {
+		boolean alive = !this.lease.isEmpty() && store.renew(this.lease).getOrElse(true);
+		if (!alive) {
+			store.grant(REGISTERED_MS).peek((granted) -> register(store, granted));
+		}
+		store.list(Keys.MEMBERS).peek((snapshot) -> {
+			List<Address> found = snapshot.entries()
+				.stream()
+				.flatMap((entry) -> Address.parse(new String(entry.value(), StandardCharsets.UTF_8)).toJavaStream())
+				.filter((address) -> !address.equals(this.settings.listen().peers()))
+				.toList();
+			if (!found.isEmpty()) {
+				this.others.set(found);
+			}
+		});
+	}
+
+	private void register(ClusterStore store, String granted) {
+		byte[] address = this.settings.listen().peers().toString().getBytes(StandardCharsets.UTF_8);
+		store
+			.transact(new Transaction(Map.of(),
+					List.of(new Put(Keys.MEMBERS + this.settings.process(), address, granted)), List.of()))
+			.peek((revision) -> this.lease = granted)
+			.peekLeft((failure) -> Part.PEER.logger()
+				.atWarn()
+				.addKeyValue("reason", failure.phrase())
+				.log("Could not register this process; tries again."));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -0,0 +1,142 @@
+package org.citronrelay.internal.cluster;
+
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
+
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpClient;
+import org.citronrelay.internal.logging.Part;
+import org.citronrelay.internal.time.Ticker;
+
+/**
+ * Carries calls to the store: directly, and through a peer while the store turns this
+ * machine away. All calls to the store may be repeated: writes carry conditions.
+ */
+public final class StoreRoute {
+
+	/** What a peer's path begins with when it is to pass a call on. */
+	static final String RELAY = "/relay";
+
+	/** How long the store is left alone after it turned this machine away. */
+	private static final long DETOUR_MS = 1_000;
+
+	/** The longest that a call to a peer takes beyond the store's own time. */
+	private static final long HOP_MS = 100;
+
+	/** How many peers are asked for one call. */
+	private static final int PEERS_ASKED = 2;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int SERVER_FAULT = 500;
+
+	private final HttpClient client;
+
+	private final Address store;
+
+	private final Supplier<List<Address>> peers;
+
+	private final Ticker ticker;
+
+	private volatile long directAgainAt = Long.MIN_VALUE;
+
+	private volatile long reachedAt = Long.MIN_VALUE;
+
+	private volatile boolean lost;
+
+	public StoreRoute(HttpClient client, Address store, Supplier<List<Address>> peers, Ticker ticker) {
+		this.client = client;
+		this.store = store;
+		this.peers = peers;
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Sends a call by whichever way works.
+	 * @param timeoutMs how long one way may take, in milliseconds
+	 */
+	public Exchange exchange(HttpCall call, long timeoutMs) {
+		Exchange direct = new Exchange.NotSent("the store turned this machine away a moment ago");
+		if (this.ticker.millis() >= this.directAgainAt) {
+			direct = direct(call, timeoutMs);
+			if (served(direct)) {
+				reached("directly");
+				return direct;
+			}
+			this.directAgainAt = this.ticker.millis() + DETOUR_MS;
+		}
+		Exchange relayed = relayed(call, timeoutMs);
+		if (served(relayed)) {
+			reached("through a peer");
+			return relayed;
+		}
+		if (!this.lost) {
+			this.lost = true;
+			Part.PLATFORM.logger().atWarn().addKeyValue("direct", reason(direct)).log("Lost the store.");
+		}
+		return worse(direct, relayed);
+	}
+
+	/**
+	 * Sends a call directly, as a peer asked.
+	 */
+	Exchange direct(HttpCall call, long timeoutMs) {
+		return this.client.exchange(this.store, call, timeoutMs, false);
+	}
+
+	/**
+	 * When the store last answered by any way, in ticks.
+	 */
+	long reachedAt() {
+		return this.reachedAt;
+	}
+
+	private Exchange relayed(HttpCall call, long timeoutMs) {
+		List<Address> known = this.peers.get();
+		Exchange last = new Exchange.NotSent("no peer is known");
+		if (known.isEmpty()) {
+			return last;
+		}
+		int first = ThreadLocalRandom.current().nextInt(known.size());
+		HttpCall wrapped = new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(), call.body());
+		for (int asked = 0; asked < Math.min(PEERS_ASKED, known.size()); asked++) {
+			last = this.client.exchange(known.get((first + asked) % known.size()), wrapped, timeoutMs + HOP_MS, false);
+			if (served(last)) {
+				return last;
+			}
+		}
+		return last;
+	}
+
+	private void reached(String how) {
+		this.reachedAt = this.ticker.millis();
+		if (this.lost) {
+			this.lost = false;
+			Part.PLATFORM.logger().atInfo().addKeyValue("way", how).log("Reached the store again.");
+		}
+	}
+
+	/**
+	 * Of two failures the one that leaves more open: a call that may have arrived.
+	 */
+	private static Exchange worse(Exchange one, Exchange other) {
+		return (one instanceof Exchange.Broken) ? one : other;
+	}
+
+	private static boolean served(Exchange exchange) {
+		return exchange instanceof Exchange.Answered answered && answered.reply().status() != TOO_MANY
+				&& answered.reply().status() < SERVER_FAULT;
+	}
+
+	private static String reason(Exchange exchange) {
+		return switch (exchange) {
+			case Exchange.Answered answered -> "status " + answered.reply().status();
+			case Exchange.NotSent notSent -> notSent.reason();
+			case Exchange.Broken broken -> broken.reason();
+		};
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/logging/LogSetup.java
+++ b/src/main/java/org/citronrelay/internal/logging/LogSetup.java
@@ -1,5 +1,6 @@
 package org.citronrelay.internal.logging;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -14,7 +15,10 @@
  */
 public final class LogSetup {
 
-	private static final String STANDARD_ERROR = "System.err";
+	private static final String STANDARD_OUTPUT = "System.out";
+
+	/** How many lines may wait for a slow reader; further ones are dropped. */
+	private static final int WAITING_LINES = 4_096;
 
 	private LogSetup() {
 	}
@@ -37,7 +41,8 @@
 	}
 
 	/**
-	 * Writes each line as JSON.
+	 * Writes each line as JSON. A reader that does not read blocks nobody: lines are
+	 * dropped, those of informative level first.
 	 */
 	public static void json() {
 		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
@@ -51,11 +56,17 @@
 		encoder.start();
 		ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
 		appender.setContext(context);
-		appender.setTarget(STANDARD_ERROR);
+		appender.setTarget(STANDARD_OUTPUT);
 		appender.setEncoder(encoder);
 		appender.start();
+		AsyncAppender queue = new AsyncAppender();
+		queue.setContext(context);
+		queue.setQueueSize(WAITING_LINES);
+		queue.setNeverBlock(true);
+		queue.addAppender(appender);
+		queue.start();
 		root().detachAndStopAllAppenders();
-		root().addAppender(appender);
+		root().addAppender(queue);
 	}
 
 	private static Logger root() {
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
@@ -0,0 +1,291 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.List;
+
+/**
+ * How tasks move from phase to phase.
+ */
+final class Lifecycle {
+
+	/** How many runs in a row may fail on a VM before it is left alone for a while. */
+	private static final int FAILURES_TO_BENCH = 2;
+
+	private final Fleet fleet;
+
+	private final Outbox outbox;
+
+	private final ScheduleTimings timings;
+
+	private double wasted;
+
+	Lifecycle(Fleet fleet, Outbox outbox, ScheduleTimings timings) {
+		this.fleet = fleet;
+		this.outbox = outbox;
+		this.timings = timings;
+	}
+
+	double wasted() {
+		return this.wasted;
+	}
+
+	/**
+	 * Gives a task a VM; it is started once that is stored.
+	 */
+	void place(TaskState task, VmState vm, long run, Moment now) {
+		task.phase = TaskPhase.PLACED;
+		task.run = run;
+		task.vm = vm.id();
+		task.boot = vm.report.boot();
+		task.placedAt = now.ticks();
+		task.savedAt = now.ticks();
+		task.roseAt = now.ticks();
+		task.percent = 0;
+		task.orderedAt = 0;
+		task.barredAt = 0;
+		task.recorded = false;
+		task.inherited = false;
+		vm.tasks.add(task);
+		JobState job = task.step.job;
+		job.unsaved = true;
+		job.afterSave.add(() -> {
+			if (task.run == run) {
+				task.recorded = true;
+			}
+		});
+	}
+
+	/**
+	 * Gives the orders that are due on a VM, again where one was not answered.
+	 */
+	void order(VmState vm, Moment now) {
+		for (TaskState task : vm.tasks) {
+			boolean due = task.orderedAt == 0 || now.ticks() - task.orderedAt >= this.timings.retryMs();
+			if (!due || !task.recorded || !vm.fenced || (task.inherited && task.phase == TaskPhase.PLACED)) {
+				continue;
+			}
+			if (task.phase == TaskPhase.PLACED) {
+				long leaseUntil = this.fleet.leaseEnd(vm, now);
+				vm.leaseUntil = Math.max(vm.leaseUntil, leaseUntil);
+				task.orderedAt = now.ticks();
+				this.outbox.add(new Effect.Start(vm.report, task.id(), task.run, task.step.job.spec.payload(),
+						task.step.checkpoint(task), leaseUntil));
+			}
+			else if (task.phase == TaskPhase.STOPPING) {
+				task.orderedAt = now.ticks();
+				this.outbox.add(new Effect.Stop(vm.report, task.id(), task.run));
+			}
+		}
+	}
+
+	void startAnswered(TaskState task, StartAnswer answer, Moment now) {
+		switch (answer) {
+			case STARTED -> begun(task, now);
+			case OUTDATED -> task.barredAt = now.ticks();
+			case LATE -> task.orderedAt = now.ticks() - this.timings.retryMs();
+			case NO_ROOM, REJECTED, UNHEALTHY -> {
+				this.outbox.note(task.step.job.id(), "start refused",
+						task.id() + " run " + task.run + " on " + task.vm + ": " + answer);
+				task.avoided.add(task.vm);
+				if (answer == StartAnswer.UNHEALTHY) {
+					bench(this.fleet.find(task.vm), now);
+				}
+				stop(task);
+			}
+			case FENCED, UNKNOWN -> {
+			}
+		}
+	}
+
+	void listed(TaskState task, VmAnswer.Running running, Moment now) {
+		if (task.phase == TaskPhase.PLACED) {
+			begun(task, now);
+		}
+		if (task.step.job.phase.ended()) {
+			stop(task);
+		}
+		if (running.percent() > task.percent) {
+			task.percent = running.percent();
+			task.roseAt = now.ticks();
+		}
+		if (!running.checkpoint().isEmpty()) {
+			if (!running.checkpoint().equals(task.step.checkpoint(task))) {
+				task.savedAt = now.ticks();
+			}
+			task.step.saved(task, running.checkpoint());
+		}
+	}
+
+	void ended(TaskState task, VmState vm, VmAnswer.Ended ended, Moment now) {
+		if (!ended.checkpoint().isEmpty()) {
+			task.step.saved(task, ended.checkpoint());
+		}
+		switch (ended.how()) {
+			case DONE -> done(task, vm, now);
+			case FAILED -> failed(task, vm, now);
+			case STOPPED, LAPSED, BROKEN, ALONE -> {
+				if (ended.how() != VmAnswer.How.BROKEN) {
+					this.outbox.note(task.step.job.id(), "run ended", task.id() + " run " + task.run + " on " + vm.id()
+							+ ": " + ended.how() + " at " + task.percent + "%");
+				}
+				this.wasted += task.unsavedWork(now.ticks());
+				release(task);
+				closeRun(task);
+			}
+		}
+	}
+
+	/**
+	 * Takes in that a run is gone without an end that was listed.
+	 */
+	void lost(TaskState task, Moment now, String why) {
+		this.outbox.note(task.step.job.id(), "run lost",
+				task.id() + " run " + task.run + " on " + task.vm + ": " + why);
+		this.wasted += task.unsavedWork(now.ticks());
+		task.step.job.unsaved = true;
+		release(task);
+		closeRun(task);
+	}
+
+	/**
+	 * Ends a job: nothing of it starts any more, what runs is stopped.
+	 */
+	void end(JobState job, JobPhase phase, Moment now) {
+		job.phase = phase;
+		job.endedAt = now.ticks();
+		job.unsaved = true;
+		for (StepState step : job.steps) {
+			step.tasks.forEach(this::stop);
+		}
+	}
+
+	/**
+	 * Tells a task to stop, if it may run.
+	 */
+	void stop(TaskState task) {
+		if (task.phase == TaskPhase.PLACED && !task.recorded && task.orderedAt == 0) {
+			release(task);
+			task.step.job.unsaved = true;
+			closeRun(task);
+		}
+		else if (task.phase == TaskPhase.PLACED || task.phase == TaskPhase.RUNNING) {
+			task.phase = TaskPhase.STOPPING;
+			task.orderedAt = 0;
+			task.recorded = true;
+		}
+	}
+
+	/**
+	 * Moves tasks that stand still, and stops what runs for ended jobs.
+	 */
+	void watchOver(VmState vm, Moment now) {
+		for (TaskState task : List.copyOf(vm.tasks)) {
+			if (task.phase == TaskPhase.RUNNING && stalled(task, vm, now)) {
+				this.outbox.note(task.step.job.id(), "run stands still", task.id() + " run " + task.run + " on "
+						+ vm.id() + " at " + task.percent + "% for " + (now.ticks() - task.roseAt) + " ms");
+				task.avoided.add(vm.id());
+				bench(vm, now);
+				stop(task);
+			}
+		}
+	}
+
+	/**
+	 * Lets the members of a gang wait for VMs again once all of them have ended.
+	 */
+	void settle(StepState step) {
+		if (step.spec.gang() && step.tasks.stream()
+			.allMatch((task) -> task.phase == TaskPhase.ENDED || task.phase == TaskPhase.WAITING)) {
+			step.tasks.forEach((task) -> task.phase = TaskPhase.WAITING);
+		}
+	}
+
+	private boolean stalled(TaskState task, VmState vm, Moment now) {
+		long standing = vm.heardAt - task.roseAt;
+		boolean together = !task.step.spec.gang()
+				|| task.step.tasks.stream().allMatch((member) -> member.phase == TaskPhase.RUNNING);
+		return together && !task.step.spec.shape().lasting()
+				&& standing > this.timings.stallMs() + task.step.spec.estimateMs() / 10 && now.ticks() > vm.heardAt;
+	}
+
+	private void begun(TaskState task, Moment now) {
+		if (task.phase != TaskPhase.PLACED) {
+			return;
+		}
+		task.phase = TaskPhase.RUNNING;
+		task.roseAt = now.ticks();
+		JobState job = task.step.job;
+		if (job.phase == JobPhase.QUEUED) {
+			job.phase = JobPhase.RUNNING;
+			job.unsaved = true;
+		}
+	}
+
+	private void done(TaskState task, VmState vm, Moment now) {
+		vm.failedInRow = 0;
+		List<TaskState> together = task.step.spec.gang() ? task.step.tasks : List.of(task);
+		for (TaskState member : together) {
+			if (member.phase.takesRoom()) {
+				release(member);
+			}
+			member.phase = task.step.spec.shape().lasting() ? TaskPhase.WAITING : TaskPhase.DONE;
+		}
+		JobState job = task.step.job;
+		if (!job.phase.ended() && job.allDone()) {
+			job.phase = JobPhase.COMPLETED;
+			job.endedAt = now.ticks();
+			this.outbox.note(job.id(), "job completed",
+					"after " + (now.wallMs() - job.spec.acceptedAtMs()) + " ms in queue " + job.spec.queue());
+		}
+	}
+
+	private void failed(TaskState task, VmState vm, Moment now) {
+		StepState step = task.step;
+		TaskState counter = step.spec.gang() ? step.tasks.getFirst() : task;
+		if (!step.spec.gang() || step.failedRun < task.run) {
+			step.failedRun = task.run;
+			counter.failures++;
+		}
+		this.outbox.note(step.job.id(), "run failed", task.id() + " run " + task.run + " on " + vm.id() + " at "
+				+ task.percent + "%, " + counter.failures + " of " + step.job.maxAttempts + " attempts");
+		task.avoided.add(vm.id());
+		vm.failedInRow++;
+		if (vm.failedInRow >= FAILURES_TO_BENCH) {
+			bench(vm, now);
+		}
+		release(task);
+		if (counter.failures >= step.job.maxAttempts && !step.spec.shape().lasting() && !step.job.phase.ended()) {
+			this.outbox.note(step.job.id(), "job failed", "task " + task.id() + " used all its attempts");
+			end(step.job, JobPhase.FAILED, now);
+		}
+		closeRun(task);
+	}
+
+	private void bench(VmState vm, Moment now) {
+		if (vm != null && vm.benchedUntil <= now.ticks()) {
+			vm.benchedUntil = now.ticks() + this.timings.benchMs();
+			this.outbox.note("", "VM left alone",
+					vm.id() + " for " + this.timings.benchMs() + " ms, " + vm.failedInRow + " failures in a row");
+		}
+	}
+
+	private void release(TaskState task) {
+		VmState vm = this.fleet.find(task.vm);
+		if (vm != null) {
+			vm.tasks.remove(task);
+		}
+	}
+
+	/**
+	 * After a run without success: a task waits again, a gang once all members ended.
+	 */
+	private void closeRun(TaskState task) {
+		if (!task.step.spec.gang()) {
+			task.phase = TaskPhase.WAITING;
+			return;
+		}
+		task.phase = TaskPhase.ENDED;
+		task.step.tasks.forEach(this::stop);
+		settle(task.step);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/Outbox.java
@@ -0,0 +1,27 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Effects that were decided and not handed out yet.
+ */
+final class Outbox {
+
+	private List<Effect> effects = new ArrayList<>();
+
+	void add(Effect effect) {
+		this.effects.add(effect);
+	}
+
+	void note(String job, String what, String why) {
+		this.effects.add(new Effect.Note(job, what, why));
+	}
+
+	List<Effect> drain() {
+		List<Effect> drained = this.effects;
+		this.effects = new ArrayList<>();
+		return drained;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
@@ -0,0 +1,90 @@
+package org.citronrelay.internal.schedule;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.citronrelay.internal.json.Json;
+
+/**
+ * Writes the progress of a job as a document for the key-value service and reads it back.
+ * Steps that nothing was done for are left out.
+ */
+public final class ProgressCodec {
+
+	private static final int FORMAT = 1;
+
+	private static final String PHASE = "phase";
+
+	private ProgressCodec() {
+	}
+
+	/**
+	 * The phase in a stored document.
+	 */
+	public static JobPhase phase(byte[] document) {
+		return JobPhase.valueOf(Json.parseOwn(document).path(PHASE).asText());
+	}
+
+	static byte[] encode(JobState job) {
+		ObjectNode root = Json.object().put("format", FORMAT).put(PHASE, job.phase.name());
+		if (job.phase.ended() && !job.holdsRoom()) {
+			return Json.bytes(root);
+		}
+		ArrayNode steps = root.putArray("steps");
+		for (StepState step : job.steps) {
+			if (!step.untouched()) {
+				encode(steps.addObject(), step);
+			}
+		}
+		return Json.bytes(root);
+	}
+
+	private static void encode(ObjectNode node, StepState step) {
+		node.put("occurrence", step.occurrence).put("number", step.number);
+		ArrayNode tasks = node.putArray("tasks");
+		for (TaskState task : step.tasks) {
+			tasks.addArray()
+				.add(task.phase.name().charAt(0) + "")
+				.add(task.run)
+				.add(task.failures)
+				.add(task.vm)
+				.add(task.boot)
+				.add(task.checkpoint);
+		}
+	}
+
+	/**
+	 * Takes a document into a job; runs that were under way count as placed.
+	 * @throws IllegalArgumentException if the document is of a later format
+	 */
+	static void decode(byte[] document, JobState job) {
+		JsonNode root = Json.parseOwn(document);
+		if (root.path("format").asInt() > FORMAT) {
+			throw new IllegalArgumentException("progress of job " + job.id() + " has format " + root.path("format"));
+		}
+		job.phase = JobPhase.valueOf(root.path(PHASE).asText());
+		for (JsonNode node : root.path("steps")) {
+			StepState step = job.step(node.path("occurrence").asInt(), node.path("number").asInt());
+			for (int index = 0; index < step.tasks.size(); index++) {
+				decode(node.path("tasks").path(index), step.tasks.get(index));
+			}
+		}
+	}
+
+	private static void decode(JsonNode node, TaskState task) {
+		task.phase = switch (node.path(0).asText()) {
+			case "D" -> TaskPhase.DONE;
+			case "P", "R", "S" -> TaskPhase.PLACED;
+			case "E" -> TaskPhase.ENDED;
+			default -> TaskPhase.WAITING;
+		};
+		task.run = node.path(1).asLong();
+		task.failures = node.path(2).asInt();
+		task.vm = node.path(3).asText();
+		task.boot = node.path(4).asLong();
+		task.checkpoint = node.path(5).asText();
+		task.recorded = true;
+		task.inherited = task.phase.takesRoom();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -0,0 +1,89 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.batch.TaskId;
+
+/**
+ * One task as the coordinator knows it. Owned by one {@link JobBook}.
+ */
+final class TaskState {
+
+	final StepState step;
+
+	final int index;
+
+	TaskPhase phase = TaskPhase.WAITING;
+
+	/** The number of the newest run, 0 before the first. */
+	long run;
+
+	int failures;
+
+	String checkpoint = "";
+
+	/** Where the newest run is, empty for nowhere. */
+	String vm = "";
+
+	long boot;
+
+	long placedAt;
+
+	/** When an order for this run was last given, in ticks. */
+	long orderedAt;
+
+	/** Since when this run surely cannot begin any more, in ticks; 0 while it can. */
+	long barredAt;
+
+	/** Whether an earlier coordinator gave the order for this run. */
+	boolean inherited;
+
+	/** Whether the record of this run is stored, so that it may be started. */
+	boolean recorded;
+
+	int percent;
+
+	/** When the percentage last rose, in ticks. */
+	long roseAt;
+
+	/** When the VM last saved progress of this run, in ticks. */
+	long savedAt;
+
+	/** The VMs on which the task failed. */
+	final Set<String> avoided = new HashSet<>();
+
+	TaskState(StepState step, int index) {
+		this.step = step;
+		this.index = index;
+	}
+
+	/**
+	 * Whether the run may have begun on its VM.
+	 */
+	boolean mayHaveBegun() {
+		return this.phase != TaskPhase.PLACED || this.orderedAt > 0 || this.inherited;
+	}
+
+	Resources needs() {
+		return this.step.spec.each();
+	}
+
+	TaskId id() {
+		return new TaskId(this.step.job.id(), this.step.occurrence, this.step.number, this.index);
+	}
+
+	/**
+	 * The work that would be lost if the run were stopped now, in core-seconds.
+	 */
+	double unsavedWork(long now) {
+		if (!this.phase.takesRoom()) {
+			return 0;
+		}
+		long since = this.step.spec.checkpoints() ? Math.max(this.savedAt, this.placedAt) : this.placedAt;
+		double seconds = Math.max(0, now - since) / 1_000.0;
+		return seconds * needs().coreEquivalents() * (this.step.spec.checkpoints() ? StepState.STOP_SAVES : 1);
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/settings/LogSettings.java
+++ b/src/main/java/org/citronrelay/internal/settings/LogSettings.java
@@ -17,7 +17,10 @@
 		Objects.requireNonNull(level, "level");
 	}
 
-	static LogSettings read(JsonCursor cursor) {
+	/**
+	 * Reads the settings of logs.
+	 */
+	public static LogSettings read(JsonCursor cursor) {
 		LogSettings settings = new LogSettings(cursor.choice("format", Format.class, Format.TEXT),
 				cursor.choice("level", Level.class, Level.INFO));
 		cursor.end();
--- /dev/null
+++ b/src/main/java/org/citronrelay/platform/PlatformStore.java
@@ -0,0 +1,221 @@
+package org.citronrelay.platform;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.citronrelay.internal.cluster.ClusterStore;
+import org.citronrelay.internal.cluster.StoreFailure;
+import org.citronrelay.internal.cluster.StoreRoute;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
+import org.citronrelay.internal.platform.KvEntry;
+
+/**
+ * The platform's metadata store.
+ */
+final class PlatformStore implements ClusterStore {
+
+	/** How long a call may take beside the time it waits, in milliseconds. */
+	private static final long TIMEOUT_MS = 600;
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int GONE = 410;
+
+	private static final int CONDITION_FAILED = 412;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final StoreRoute route;
+
+	PlatformStore(StoreRoute route) {
+		this.route = route;
+	}
+
+	@Override
+	public Either<StoreFailure, Option<KvEntry>> read(String key) {
+		return call(HttpCall.of("GET", "/citronrelay/kv-key").query("key", key), TIMEOUT_MS)
+			.flatMap((reply) -> switch (reply.status()) {
+				case OK -> body(reply).flatMap(PlatformStore::entry).map(Option::some);
+				case NOT_FOUND -> Either.right(Option.none());
+				default -> Either.left(unexpected(reply));
+			});
+	}
+
+	@Override
+	public Either<StoreFailure, KvSnapshot> list(String prefix) {
+		List<KvEntry> entries = new ArrayList<>();
+		long revision = Long.MAX_VALUE;
+		String after = "";
+		while (true) {
+			HttpCall call = HttpCall.of("GET", "/citronrelay/kv-range").query("prefix", prefix);
+			Either<StoreFailure, JsonNode> page = answered(after.isEmpty() ? call : call.query("after", after),
+					TIMEOUT_MS);
+			if (page.isLeft()) {
+				return Either.left(page.getLeft());
+			}
+			for (JsonNode item : page.get().path("items")) {
+				Either<StoreFailure, KvEntry> entry = entry(item);
+				if (entry.isLeft()) {
+					return Either.left(entry.getLeft());
+				}
+				entries.add(entry.get());
+			}
+			revision = Math.min(revision, page.get().path("currentRev").asLong());
+			if (!page.get().path("hasMore").asBoolean() || entries.isEmpty()) {
+				return Either.right(new KvSnapshot(entries, List.of(), revision));
+			}
+			after = entries.getLast().key();
+		}
+	}
+
+	@Override
+	public Either<StoreFailure, KvSnapshot> watch(String prefix, long afterRevision, long waitMs) {
+		HttpCall call = HttpCall.of("GET", "/citronrelay/kv-watch")
+			.query("prefix", prefix)
+			.query("after", Long.toString(afterRevision))
+			.query("waitMs", Long.toString(waitMs));
+		return call(call, waitMs + TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+			case OK -> body(reply).flatMap(PlatformStore::changes);
+			case GONE -> Either.left(new StoreFailure.HistoryGone());
+			default -> Either.left(unexpected(reply));
+		});
+	}
+
+	@Override
+	public Either<StoreFailure, Long> transact(Transaction transaction) {
+		ObjectNode body = Json.object();
+		ArrayNode expected = body.putArray("expectRev");
+		transaction.expected()
+			.forEach((key, revision) -> expected.addObject().put("key", key).put("revision", revision));
+		ArrayNode puts = body.putArray("setKeys");
+		for (Put put : transaction.puts()) {
+			ObjectNode node = puts.addObject()
+				.put("key", put.key())
+				.put("value", Base64.getEncoder().encodeToString(put.value()));
+			if (!put.lease().isEmpty()) {
+				node.put("lease", Long.parseLong(put.lease()));
+			}
+		}
+		ArrayNode removes = body.putArray("remove");
+		transaction.removes().forEach(removes::add);
+		return call(post("/citronrelay/kv-txn", body), TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+			case OK -> body(reply).map((node) -> node.path("revision").asLong());
+			case CONDITION_FAILED -> body(reply).flatMap(PlatformStore::conflicts);
+			case NOT_FOUND -> Either.left(new StoreFailure.LeaseGone(leases(transaction)));
+			default -> Either.left(unexpected(reply));
+		});
+	}
+
+	@Override
+	public Either<StoreFailure, String> grant(long ttlMs) {
+		return answered(post("/citronrelay/kv-lease", Json.object().put("ttlMs", ttlMs)), TIMEOUT_MS)
+			.flatMap((node) -> node.path("lease").canConvertToLong() ? Either.right(node.path("lease").asText())
+					: Either.left(new StoreFailure.Ambiguous("a lease without its number")));
+	}
+
+	@Override
+	public Either<StoreFailure, Boolean> renew(String lease) {
+		return present(post("/citronrelay/kv-keep/" + lease, Json.object()));
+	}
+
+	@Override
+	public Either<StoreFailure, Boolean> revoke(String lease) {
+		return present(HttpCall.of("DELETE", "/citronrelay/kv-lease-end/" + lease));
+	}
+
+	private Either<StoreFailure, Boolean> present(HttpCall call) {
+		return call(call, TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+			case OK -> Either.right(true);
+			case NOT_FOUND -> Either.right(false);
+			default -> Either.left(unexpected(reply));
+		});
+	}
+
+	private Either<StoreFailure, JsonNode> answered(HttpCall call, long timeoutMs) {
+		return call(call, timeoutMs)
+			.flatMap((reply) -> (reply.status() == OK) ? body(reply) : Either.left(unexpected(reply)));
+	}
+
+	private Either<StoreFailure, HttpReply> call(HttpCall call, long timeoutMs) {
+		return switch (this.route.exchange(call, timeoutMs)) {
+			case Exchange.Answered answered -> Either.right(answered.reply());
+			case Exchange.NotSent notSent -> Either.left(new StoreFailure.Unavailable(notSent.reason()));
+			case Exchange.Broken broken -> Either.left(new StoreFailure.Ambiguous(broken.reason()));
+		};
+	}
+
+	private static HttpCall post(String path, ObjectNode body) {
+		return HttpCall.of("POST", path).header("Content-Type", "application/json").body(Json.bytes(body));
+	}
+
+	private static StoreFailure unexpected(HttpReply reply) {
+		String reason = "status " + reply.status();
+		return (reply.status() == TOO_MANY || reply.status() == UNAVAILABLE) ? new StoreFailure.Unavailable(reason)
+				: new StoreFailure.Ambiguous(reason);
+	}
+
+	private static Either<StoreFailure, JsonNode> body(HttpReply reply) {
+		return Json.parse(reply.body()).mapLeft((findings) -> new StoreFailure.Ambiguous(findings.text()));
+	}
+
+	private static Either<StoreFailure, KvEntry> entry(JsonNode node) {
+		if (!node.path("key").isTextual() || !node.path("value").isTextual()
+				|| !node.path("revision").canConvertToLong()) {
+			return Either.left(new StoreFailure.Ambiguous("an item without key, value or revision"));
+		}
+		try {
+			return Either.right(new KvEntry(node.path("key").asText(),
+					Base64.getDecoder().decode(node.path("value").asText()), node.path("revision").asLong()));
+		}
+		catch (IllegalArgumentException ex) {
+			return Either.left(new StoreFailure.Ambiguous("a value that is not base64: " + ex.getMessage()));
+		}
+	}
+
+	private static Either<StoreFailure, KvSnapshot> changes(JsonNode node) {
+		List<KvEntry> written = new ArrayList<>();
+		List<String> deleted = new ArrayList<>();
+		for (JsonNode event : node.path("events")) {
+			String key = event.path("key").asText();
+			written.removeIf((earlier) -> earlier.key().equals(key));
+			deleted.remove(key);
+			if (event.path("deleted").asBoolean()) {
+				deleted.add(key);
+				continue;
+			}
+			Either<StoreFailure, KvEntry> entry = entry(event);
+			if (entry.isLeft()) {
+				return Either.left(entry.getLeft());
+			}
+			written.add(entry.get());
+		}
+		return Either.right(new KvSnapshot(written, deleted, node.path("currentRev").asLong()));
+	}
+
+	private static Either<StoreFailure, Long> conflicts(JsonNode node) {
+		List<KvEntry> current = new ArrayList<>();
+		for (JsonNode item : node.path("items")) {
+			entry(item).peek(current::add);
+		}
+		return Either.left(new StoreFailure.Conflict(current));
+	}
+
+	private static String leases(Transaction transaction) {
+		return transaction.puts().stream().map(Put::lease).filter((lease) -> !lease.isEmpty()).findFirst().orElse("");
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/citronrelay/platform/PlatformWorkers.java
@@ -0,0 +1,159 @@
+package org.citronrelay.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.citronrelay.internal.batch.TaskId;
+import org.citronrelay.internal.batch.VmReport;
+import org.citronrelay.internal.cluster.WorkerOrders;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpClient;
+import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.schedule.Effect;
+import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAnswer;
+
+/**
+ * The orders that the platform's workers take.
+ */
+final class PlatformWorkers implements WorkerOrders {
+
+	/** How long an order may take beside the time it waits, in milliseconds. */
+	private static final long TIMEOUT_MS = 800;
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int CONFLICT = 409;
+
+	private static final int TOO_MANY = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final HttpClient client;
+
+	PlatformWorkers(HttpClient client) {
+		this.client = client;
+	}
+
+	@Override
+	public StartAnswer start(Effect.Start order, long token) {
+		ObjectNode body = named(order.task(), order.run(), token).put("spec", order.payload())
+			.put("deadlineMs", order.leaseUntil());
+		if (!order.checkpoint().isEmpty()) {
+			body.put("lastCheckpoint", order.checkpoint());
+		}
+		return switch (exchange(order.vm(), "/citronrelay/run-start", body, TIMEOUT_MS)) {
+			case Exchange.Answered answered -> startAnswer(answered.reply());
+			case Exchange.NotSent _ -> StartAnswer.UNKNOWN;
+			case Exchange.Broken _ -> StartAnswer.UNKNOWN;
+		};
+	}
+
+	@Override
+	public boolean stop(Effect.Stop order, long token) {
+		Exchange exchange = exchange(order.vm(), "/citronrelay/run-stop", named(order.task(), order.run(), token),
+				TIMEOUT_MS);
+		return exchange instanceof Exchange.Answered answered && answered.reply().status() == OK;
+	}
+
+	@Override
+	public Either<String, VmAnswer> renew(Effect.Renew order, long token) {
+		ObjectNode body = Json.object().put("fencingToken", token).put("lastSeen", order.acknowledge());
+		if (order.leaseUntil() > 0) {
+			body.put("deadlineMs", order.leaseUntil());
+		}
+		if (order.waitMs() > 0) {
+			body.put("waitMs", order.waitMs());
+		}
+		return switch (exchange(order.vm(), "/citronrelay/hold", body, order.waitMs() + TIMEOUT_MS)) {
+			case Exchange.Answered answered when answered.reply().status() == OK -> lists(answered.reply());
+			case Exchange.Answered answered -> Either.left("status " + answered.reply().status());
+			case Exchange.NotSent notSent -> Either.left(notSent.reason());
+			case Exchange.Broken broken -> Either.left(broken.reason());
+		};
+	}
+
+	private Exchange exchange(VmReport vm, String path, ObjectNode body, long timeoutMs) {
+		HttpCall call = HttpCall.of("POST", path)
+			.header("Content-Type", "application/json")
+			.header("X-Expect-Instance", vm.id())
+			.body(Json.bytes(body));
+		return this.client.exchange(vm.address(), call, timeoutMs, false);
+	}
+
+	private static ObjectNode named(TaskId task, long run, long token) {
+		return Json.object().put("task", name(task)).put("runId", run).put("fencingToken", token);
+	}
+
+	private static StartAnswer startAnswer(HttpReply reply) {
+		return switch (reply.status()) {
+			case OK -> StartAnswer.STARTED;
+			case BAD_REQUEST -> StartAnswer.REJECTED;
+			case CONFLICT -> switch (reply.json().path("reason").asText()) {
+				case "fence" -> StartAnswer.FENCED;
+				case "old" -> StartAnswer.OUTDATED;
+				case "late" -> StartAnswer.LATE;
+				case "room" -> StartAnswer.NO_ROOM;
+				default -> StartAnswer.REJECTED;
+			};
+			case TOO_MANY, UNAVAILABLE -> StartAnswer.UNHEALTHY;
+			default -> StartAnswer.UNKNOWN;
+		};
+	}
+
+	private static Either<String, VmAnswer> lists(HttpReply reply) {
+		JsonNode root = reply.json();
+		if (!root.path("born").canConvertToLong() || !root.path("clockMs").canConvertToLong()) {
+			return Either.left("an answer without born or clockMs");
+		}
+		List<VmAnswer.Running> running = new ArrayList<>();
+		for (JsonNode row : root.path("running")) {
+			taskId(row.path(0).asText()).forEach((task) -> running
+				.add(new VmAnswer.Running(task, row.path(1).asLong(), row.path(2).asText(), row.path(3).asInt())));
+		}
+		List<VmAnswer.Ended> ended = new ArrayList<>();
+		for (JsonNode row : root.path("finished")) {
+			taskId(row.path(1).asText()).forEach((task) -> ended.add(new VmAnswer.Ended(row.path(0).asLong(), task,
+					row.path(2).asLong(), how(row.path(3).asText()), row.path(4).asText())));
+		}
+		return Either.right(new VmAnswer(root.path("born").asLong(), root.path("clockMs").asLong(), running, ended));
+	}
+
+	/**
+	 * A way of ending that is not known counts as a stop: it says nothing of the task.
+	 */
+	private static VmAnswer.How how(String word) {
+		return switch (word) {
+			case "done" -> VmAnswer.How.DONE;
+			case "failed" -> VmAnswer.How.FAILED;
+			case "lapsed" -> VmAnswer.How.LAPSED;
+			case "broken" -> VmAnswer.How.BROKEN;
+			case "alone" -> VmAnswer.How.ALONE;
+			default -> VmAnswer.How.STOPPED;
+		};
+	}
+
+	static String name(TaskId task) {
+		return String.format(Locale.ROOT, "%s.%d.%d.%d", task.job(), task.occurrence(), task.step(), task.index());
+	}
+
+	private static List<TaskId> taskId(String name) {
+		String[] parts = name.split("\\.");
+		try {
+			return (parts.length == 4) ? List.of(new TaskId(parts[0], Integer.parseInt(parts[1]),
+					Integer.parseInt(parts[2]), Integer.parseInt(parts[3]))) : List.of();
+		}
+		catch (NumberFormatException ex) {
+			return List.of();
+		}
+	}
+
+}
