--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -84,6 +84,7 @@
 		}
 		ProgressCodec.decode(document, job);
 		job.revision = revision;
+		job.endedAt = now.ticks();
 		for (StepState step : job.steps) {
 			step.tasks.stream().filter((task) -> task.phase.takesRoom()).forEach(this.fleet::adopt);
 			this.lifecycle.settle(step);
