Write the progress of 15 jobs at a time: a transaction holds 32 entries in all

Cause: expectations and values count together; 63 entries were answered with 400 and nothing was stored from then on.

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterStore.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterStore.java
@@ -14,8 +14,8 @@
  */
 public interface ClusterStore {
 
-	/** The most keys that one transaction may touch. */
-	int TRANSACTION_KEYS = 32;
+	/** The most expectations, values and removals that one transaction may hold. */
+	int TRANSACTION_ENTRIES = 32;
 
 	/**
 	 * Reads one key.
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -53,6 +53,9 @@
 	/** How often the numbers of waiting jobs are published, in milliseconds. */
 	private static final long PUBLISH_MS = 500;
 
+	/** How many jobs fit into a transaction beside the check of the term. */
+	private static final int JOBS_A_WRITE = (ClusterStore.TRANSACTION_ENTRIES - 1) / 2;
+
 	/** How long to wait after a failed write. */
 	private static final long WRITE_RETRY_MS = 100;
 
@@ -243,7 +246,7 @@
 		if (this.writing) {
 			return;
 		}
-		List<JobBook.Write> writes = this.book.writes(ClusterStore.TRANSACTION_KEYS - 1);
+		List<JobBook.Write> writes = this.book.writes(JOBS_A_WRITE);
 		if (writes.isEmpty()) {
 			return;
 		}
