Count the longest lease for each VM until a new coordinator has renewed it

Cause: at the first answer of a VM the lease was taken to end at once, so 100 ms later all its runs counted as lapsed and were started again elsewhere.

--- a/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
+++ b/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
@@ -28,15 +28,6 @@
 
 	void take(VmState vm, VmAnswer answer, Moment now) {
 		long sentAt = vm.renewSentAt;
-		boolean first = !vm.fenced;
-		vm.renewing = false;
-		vm.fenced = true;
-		vm.renewAt = now.ticks();
-		vm.heard(answer.clockMs(), now);
-		vm.acknowledged = Math.max(vm.acknowledged, vm.acknowledgeable());
-		if (first) {
-			vm.leaseUntil = Math.max(vm.leaseUntil, answer.clockMs());
-		}
 		answer.ended()
 			.stream()
 			.filter((ended) -> ended.number() > vm.seenEnd)
--- a/src/main/java/org/citronrelay/internal/schedule/Fleet.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Fleet.java
@@ -119,6 +119,21 @@
 		return now.ticks() - this.begunAt > SLOW_CLOCK * this.timings.longestLeaseMs() + this.timings.leaseMs() / 10;
 	}
 
+	/**
+	 * Takes in that a VM answered. At the first answer nobody knows what lease an earlier
+	 * coordinator gave, so the longest one counts.
+	 */
+	void answered(VmState vm, long clockMs, Moment now) {
+		if (!vm.fenced) {
+			vm.leaseUntil = Math.max(vm.leaseUntil, clockMs + this.timings.longestLeaseMs());
+		}
+		vm.renewing = false;
+		vm.fenced = true;
+		vm.renewAt = now.ticks();
+		vm.acknowledged = Math.max(vm.acknowledged, vm.acknowledgeable());
+		vm.heard(clockMs, now);
+	}
+
 	/**
 	 * The end of a lease that begins now, on the VM's clock.
 	 */
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -137,6 +137,7 @@
 		this.fleet.booted(state, answer.boot())
 			.forEach((task) -> this.lifecycle.lost(task, now, "the VM started again"));
 		if (answer.boot() == state.report.boot()) {
+			this.fleet.answered(state, answer.clockMs(), now);
 			new AnswerIntake(this.lifecycle, this.outbox, this::task).take(state, answer, now);
 		}
 	}
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/schedule/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on batch jobs.
+ */
+package org.citronrelay.internal.schedule;
