--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -1,12 +1,11 @@
 package org.citronrelay.internal.cluster;
 
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicReference;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpClient;
@@ -16,6 +15,7 @@
 import org.citronrelay.internal.http.HttpReply;
 import org.citronrelay.internal.http.Problem;
 import org.citronrelay.internal.logging.Part;
+import org.citronrelay.internal.schedule.JobBook;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
 
@@ -38,6 +38,8 @@
 	/** How long a store call on behalf of a peer may take, in milliseconds. */
 	private static final long RELAY_MS = 700;
 
+	private static final int OK = 200;
+
 	private static final int UNAVAILABLE = 503;
 
 	private final ClusterSettings settings;
@@ -48,7 +50,7 @@
 
 	private final HttpClient client = new HttpClient(LARGEST_ANSWER_BYTES);
 
-	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+	private final ClusterMetrics metrics = new ClusterMetrics();
 
 	private final AtomicReference<Coordinator> coordinator = new AtomicReference<>();
 
@@ -70,6 +72,8 @@
 
 	private HttpEndpoint peers;
 
+	private HttpEndpoint scraped;
+
 	private volatile boolean leaving;
 
 	private volatile boolean closing;
@@ -78,7 +82,7 @@
 		this.settings = settings;
 		this.adapter = adapter;
 		this.members = new Members(settings);
-		this.route = new StoreRoute(this.client, settings.store(), this.members::others, this.ticker);
+		this.route = new StoreRoute(this.client, settings.store(), this.members::others, this.ticker, this.metrics);
 		this.store = adapter.store(this.route);
 		this.catalogue = new CatalogueWatch(this.store, adapter.sources());
 		this.election = new Election(this.store, this.ticker, settings.process() + "/" + UUID.randomUUID(),
@@ -93,7 +97,10 @@
 				this.adapter.balancer(this::ready));
 		HttpHandler handler = this.adapter.callers(new BatchDesk(this.store), this.catalogue::current);
 		this.callers = HttpEndpoint.start(this.settings.listen().callers(), HttpLimits.DEFAULT,
-				(call) -> closeWhileLeaving(handler.handle(call)));
+				(call) -> closeWhileLeaving(measured(handler, call)));
+		this.metrics.watch(this::figures, () -> this.catalogue.current().version());
+		this.scraped = HttpEndpoint.start(this.settings.listen().metrics(), HttpLimits.DEFAULT,
+				(call) -> HttpReply.text(OK, this.metrics.text()));
 		this.peers = HttpEndpoint.start(this.settings.listen().peers(), HttpLimits.DEFAULT, this::peer);
 		this.catalogue.onChange((version) -> {
 			Coordinator current = this.coordinator.get();
@@ -138,8 +145,10 @@
 	}
 
 	private void coordinate(Term term) {
-		Coordinator current = new Coordinator(new Coordinator.Parts(this.settings, this.store, this.adapter.sources(),
-				this.adapter.orders(this.client), this.catalogue, this.executor, this.ticker), term);
+		Coordinator current = new Coordinator(
+				new Coordinator.Parts(this.settings, this.store, this.adapter.sources(),
+						this.adapter.orders(this.client), this.catalogue, this.executor, this.ticker, this.metrics),
+				term);
 		this.coordinator.set(current);
 		try {
 			current.run();
@@ -154,22 +163,31 @@
 				&& this.ticker.millis() - this.route.reachedAt() < STORE_HEARD_MS;
 	}
 
+	private JobBook.Figures figures() {
+		Coordinator current = this.coordinator.get();
+		return (current != null) ? current.figures() : JobBook.Figures.NONE;
+	}
+
+	private HttpReply measured(HttpHandler handler, HttpCall call) {
+		long began = this.ticker.millis();
+		HttpReply reply = handler.handle(call);
+		this.metrics.answered(call.method(), reply.status(), this.ticker.millis() - began);
+		return reply;
+	}
+
 	private HttpReply closeWhileLeaving(HttpReply reply) {
 		return this.closing ? reply.header("Connection", "close") : reply;
 	}
 
 	/**
-	 * Passes a peer's call on to the store, or answers with the metrics.
+	 * Passes a peer's call on to the store.
 	 */
 	private HttpReply peer(HttpCall call) {
-		if (call.path().equals("/metrics")) {
-			return HttpReply.text(200, this.registry.scrape());
-		}
 		if (!call.path().startsWith(StoreRoute.RELAY)) {
-			return Problem.of(404, "no-such-path", "There is nothing here.", "Call /metrics.").reply();
+			return Problem.of(404, "no-such-path", "There is nothing here.", "Check the path.").reply();
 		}
 		HttpCall inner = new HttpCall(call.method(), call.path().substring(StoreRoute.RELAY.length()), call.query(),
-				java.util.Map.of("Content-Type", "application/json"), call.body());
+				Map.of("Content-Type", "application/json"), call.body());
 		return switch (this.route.direct(inner, RELAY_MS)) {
 			case Exchange.Answered answered -> answered.reply();
 			case Exchange.NotSent notSent -> unreached(notSent.reason());
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -136,6 +136,7 @@
 		tell(new CatalogueSeen(this.parts.catalogue().current()));
 		while (!this.term.over()) {
 			if (work.load() && loadProgress() && vms.load()) {
+				this.parts.metrics().tookOffice(this.parts.ticker().millis() - began);
 				Part.HOLDER.logger()
 					.atInfo()
 					.addKeyValue("token", this.term.token())
@@ -195,22 +196,27 @@
 			case VmSeen seen -> this.book.vmSeen(seen.report(), now);
 			case VmGone gone -> this.book.vmGone(gone.vm());
 			case CatalogueSeen seen -> this.book.catalogue(seen.catalogue());
-			case Renewed renewed ->
-				renewed.answer().peek((answer) -> this.book.answered(renewed.vm(), answer, now)).peekLeft((reason) -> {
-					Part.WORKER.logger()
-						.atWarn()
-						.addKeyValue("vm", renewed.vm())
-						.addKeyValue("reason", reason)
-						.log("A renewal was not answered.");
-					this.book.unanswered(renewed.vm(), now);
-				});
+			case Renewed renewed -> renewed(renewed, now);
 			case StartAnswered answered -> startAnswered(answered, now);
 			case StopAnswered answered -> this.book.stopAnswered(answered.task(), answered.run(), now);
 			case Written written -> written(written);
 		}
 	}
 
+	private void renewed(Renewed renewed, Moment now) {
+		this.parts.metrics().renewed(renewed.answer().isRight());
+		renewed.answer().peek((answer) -> this.book.answered(renewed.vm(), answer, now)).peekLeft((reason) -> {
+			Part.WORKER.logger()
+				.atWarn()
+				.addKeyValue("vm", renewed.vm())
+				.addKeyValue("reason", reason)
+				.log("A renewal was not answered.");
+			this.book.unanswered(renewed.vm(), now);
+		});
+	}
+
 	private void startAnswered(StartAnswered answered, Moment now) {
+		this.parts.metrics().started(answered.answer());
 		if (answered.answer() == StartAnswer.FENCED) {
 			Part.HOLDER.logger()
 				.atWarn()
@@ -390,9 +396,10 @@
 	 * @param catalogue the queues
 	 * @param executor runs calls to the outside
 	 * @param ticker the monotonic clock
+	 * @param metrics the figures of the process
 	 */
 	record Parts(ClusterSettings settings, ClusterStore store, ClusterSources sources, WorkerOrders orders,
-			CatalogueWatch catalogue, Executor executor, Ticker ticker) {
+			CatalogueWatch catalogue, Executor executor, Ticker ticker, ClusterMetrics metrics) {
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -22,7 +22,7 @@
 	private static final int RENEWALS_A_TERM = 4;
 
 	/** How long a watch for a change of office waits, in milliseconds. */
-	private static final long WATCH_MS = 1_000;
+	private static final long WATCH_MS = 2_000;
 
 	/** How many watches without a change come between two reads of the key. */
 	private static final int WATCHES_A_READ = 2;
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -41,13 +41,16 @@
 
 	private final Ticker ticker;
 
+	private final ClusterMetrics metrics;
+
 	private volatile long directAgainAt = Long.MIN_VALUE;
 
 	private volatile long reachedAt = Long.MIN_VALUE;
 
 	private volatile boolean lost;
 
-	public StoreRoute(HttpClient client, Address store, Supplier<List<Address>> peers, Ticker ticker) {
+	StoreRoute(HttpClient client, Address store, Supplier<List<Address>> peers, Ticker ticker, ClusterMetrics metrics) {
+		this.metrics = metrics;
 		this.client = client;
 		this.store = store;
 		this.peers = peers;
@@ -84,7 +87,10 @@
 	 * Sends a call directly, as a peer asked.
 	 */
 	Exchange direct(HttpCall call, long timeoutMs) {
-		return this.client.exchange(this.store, call, timeoutMs, false);
+		long began = this.ticker.millis();
+		Exchange exchange = this.client.exchange(this.store, call, timeoutMs, false);
+		this.metrics.stored("direct", outcome(exchange), this.ticker.millis() - began);
+		return exchange;
 	}
 
 	/**
@@ -103,7 +109,9 @@
 		int first = ThreadLocalRandom.current().nextInt(known.size());
 		HttpCall wrapped = new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(), call.body());
 		for (int asked = 0; asked < Math.min(PEERS_ASKED, known.size()); asked++) {
+			long began = this.ticker.millis();
 			last = this.client.exchange(known.get((first + asked) % known.size()), wrapped, timeoutMs + HOP_MS, false);
+			this.metrics.stored("peer", outcome(last), this.ticker.millis() - began);
 			if (served(last)) {
 				return last;
 			}
@@ -131,6 +139,14 @@
 				&& answered.reply().status() < SERVER_FAULT;
 	}
 
+	private static String outcome(Exchange exchange) {
+		return switch (exchange) {
+			case Exchange.Answered answered -> Integer.toString(answered.reply().status());
+			case Exchange.NotSent _ -> "not-sent";
+			case Exchange.Broken broken -> broken.silent() ? "silent" : "broken";
+		};
+	}
+
 	private static String reason(Exchange exchange) {
 		return switch (exchange) {
 			case Exchange.Answered answered -> "status " + answered.reply().status();
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -331,6 +331,14 @@
 	 * @param wasted work that was thrown away, in core-seconds
 	 */
 	public record Figures(Map<JobPhase, Integer> jobs, int placed, int vms, double wasted) {
+
+		/** The figures of a process that coordinates nothing. */
+		public static final Figures NONE = new Figures(Map.of(), 0, 0, 0);
+
+		public Figures {
+			jobs = Map.copyOf(jobs);
+		}
+
 	}
 
 }
--- a/src/main/java/org/citronrelay/platform/PlatformCallers.java
+++ b/src/main/java/org/citronrelay/platform/PlatformCallers.java
@@ -60,6 +60,7 @@
 			.addKeyValue("call", call.method() + " " + call.path())
 			.addKeyValue("catalogue", current.version())
 			.addKeyValue("status", reply.status())
+			.addKeyValue("reason", (reply.status() != OK) ? reply.json().path("title").asText() : "")
 			.log("Answered.");
 		return reply;
 	}
