Stop others for urgent work only where it is worth it; date inherited runs

Now a run's age is estimated from its percentage, and beyond the guarantee the loss is at most four times the urgent work's size. Three tests replay it.

--- a/src/main/java/org/citronrelay/internal/schedule/Fleet.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Fleet.java
@@ -105,7 +105,10 @@
 	/**
 	 * Takes in a run that an earlier coordinator placed.
 	 */
-	void adopt(TaskState task) {
+	void adopt(TaskState task, Moment now) {
+		task.placedAt = now.ticks();
+		task.savedAt = now.ticks();
+		task.roseAt = now.ticks();
 		this.vms.computeIfAbsent(task.vm, Fleet::unknown).tasks.add(task);
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -86,7 +86,7 @@
 		job.revision = revision;
 		job.endedAt = now.ticks();
 		for (StepState step : job.steps) {
-			step.tasks.stream().filter((task) -> task.phase.takesRoom()).forEach(this.fleet::adopt);
+			step.tasks.stream().filter((task) -> task.phase.takesRoom()).forEach((task) -> this.fleet.adopt(task, now));
 			this.lifecycle.settle(step);
 		}
 		cancelIfAsked(job, now);
--- a/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
@@ -10,6 +10,8 @@
 	/** How many runs in a row may fail on a VM before it is left alone for a while. */
 	private static final int FAILURES_TO_BENCH = 2;
 
+	private static final int WHOLE_PERCENT = 100;
+
 	private final Fleet fleet;
 
 	private final Outbox outbox;
@@ -103,6 +105,9 @@
 		if (task.step.job.phase.ended()) {
 			stop(task);
 		}
+		if (task.inherited) {
+			recall(task, running, now);
+		}
 		if (running.percent() > task.percent) {
 			task.percent = running.percent();
 			task.roseAt = now.ticks();
@@ -115,6 +120,16 @@
 		}
 	}
 
+	/**
+	 * Estimates when a run that an earlier coordinator started began.
+	 */
+	private static void recall(TaskState task, VmAnswer.Running running, Moment now) {
+		task.inherited = false;
+		long behind = task.step.spec.estimateMs() * running.percent() / WHOLE_PERCENT;
+		task.placedAt = now.ticks() - behind;
+		task.savedAt = running.checkpoint().isEmpty() ? task.placedAt : now.ticks();
+	}
+
 	void ended(TaskState task, VmState vm, VmAnswer.Ended ended, Moment now) {
 		if (!ended.checkpoint().isEmpty()) {
 			task.step.saved(task, ended.checkpoint());
--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -14,6 +14,11 @@
  */
 final class PlacingRound {
 
+	/** How much work others may lose for urgent work, as a multiple of its own size. */
+	private static final double MOST_LOST = 4;
+
+	private static final double MILLIS = 1_000;
+
 	private final Fleet fleet;
 
 	private final Lifecycle lifecycle;
@@ -37,14 +42,14 @@
 			return;
 		}
 		due.sort(new QueueOrder(now, queues).comparator());
-		List<Room> rooms = this.fleet.rooms(now);
-		Placer placer = new Placer(rooms);
+		Guarantees guarantees = Guarantees.of(jobs, teams);
+		Placer placer = new Placer(this.fleet.rooms(now));
 		for (StepState step : due) {
-			place(step, placer, now);
+			place(step, placer, guarantees, now);
 		}
 	}
 
-	private void place(StepState step, Placer placer, Moment now) {
+	private void place(StepState step, Placer placer, Guarantees guarantees, Moment now) {
 		List<TaskState> waiting = step.waiting();
 		List<Room> chosen = placer.place(step, waiting, (room) -> room.free);
 		long run = step.spec.gang() ? step.nextRun(waiting.getFirst()) : 0;
@@ -60,15 +65,16 @@
 		}
 		List<TaskState> left = waiting.subList(chosen.size(), waiting.size());
 		if (!left.isEmpty() && step.job.priority == 0) {
-			makeRoom(step, left, placer, now);
+			makeRoom(step, left, placer, guarantees, now);
 		}
 	}
 
 	/**
 	 * Urgent work does not wait for others to end: it takes room that is being freed, or
-	 * stops less urgent runs.
+	 * stops less urgent runs. What its team was promised it gets at any cost; beyond that
+	 * it must be worth what is lost.
 	 */
-	private void makeRoom(StepState step, List<TaskState> left, Placer placer, Moment now) {
+	private void makeRoom(StepState step, List<TaskState> left, Placer placer, Guarantees guarantees, Moment now) {
 		List<Room> soon = placer.place(step, left, (room) -> room.soon);
 		if (soon.size() == left.size()) {
 			soon.forEach((room) -> room.take(step.spec.each()));
@@ -78,6 +84,10 @@
 		if (plan.rooms().isEmpty()) {
 			return;
 		}
+		double own = left.size() * step.spec.each().coreEquivalents() * step.spec.estimateMs() / MILLIS;
+		if (plan.cost() > MOST_LOST * own && !guarantees.covers(step.job)) {
+			return;
+		}
 		this.outbox.note(step.job.id(), "others stopped for urgent work", plan.victims().size() + " runs, "
 				+ Math.round(plan.cost()) + " core-seconds not saved, for " + left.size() + " tasks");
 		plan.victims().forEach(this.lifecycle::stop);
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -197,6 +197,53 @@
 		assertThat(vm.running).hasSize(5);
 	}
 
+	@Test
+	void aTeamWithinItsGuaranteeGetsItsRoomAtAnyCost() {
+		// given
+		this.fixture.vm("vm1", "r1");
+		this.fixture.submit("long", "normal", BookFixture.step(1, new Resources(100_000, 400_000, 8), 600_000));
+		this.fixture.pass(120_000);
+		// when
+		this.fixture.submit("urgent", "urgent", BookFixture.step(1, BookFixture.SMALL, 1_000));
+		this.fixture.pass(500);
+		// then
+		assertThat(this.fixture.startsOf("urgent")).isEqualTo(1);
+	}
+
+	@Test
+	void beyondItsGuaranteeUrgentWorkDoesNotCostOthersFarMoreThanItIsWorth() {
+		// given
+		FakeVm vm = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("long", "normal", BookFixture.step(1, new Resources(100_000, 400_000, 8), 600_000));
+		this.fixture.pass(120_000);
+		// when
+		this.fixture.submit("urgent1", "urgent", BookFixture.step(8, BookFixture.SMALL, 1_000));
+		this.fixture.submit("urgent2", "urgent", BookFixture.step(8, BookFixture.SMALL, 1_000));
+		this.fixture.pass(500);
+		// then
+		assertThat(this.fixture.startsOf("urgent1")).isZero();
+		assertThat(vm.running).hasSize(1);
+	}
+
+	@Test
+	void aNewCoordinatorStopsTheRunsThatLoseLeastAsTheOneBefore() {
+		// given
+		this.fixture.vm("vm1", "r1");
+		this.fixture.submit("old", "bulk", BookFixture.step(4, BookFixture.SMALL, 600_000));
+		this.fixture.pass(60_000);
+		this.fixture.takeOver();
+		this.fixture.pass(1_000);
+		// when
+		this.fixture.submit("new", "bulk", BookFixture.step(4, BookFixture.SMALL, 600_000));
+		this.fixture.pass(2_000);
+		this.fixture.submit("urgent", "urgent", BookFixture.step(4, BookFixture.SMALL, 1_000));
+		this.fixture.pass(300);
+		// then
+		assertThat(this.fixture.startsOf("urgent")).isEqualTo(4);
+		assertThat(this.fixture.vms.get("vm1").running.keySet()).filteredOn((task) -> task.job().equals("old"))
+			.hasSize(4);
+	}
+
 	@Test
 	void aVmThatStartsAgainRunsNothingOfBefore() {
 		// given
