Offer a silent VM no longer lease, so that its runs can be started elsewhere

Now a VM is offered nothing more until it answers again, and a VM that is not registered and runs nothing is forgotten. Two tests fail without the change.

--- a/src/main/java/org/citronrelay/internal/schedule/Fleet.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Fleet.java
@@ -88,9 +88,6 @@
 		VmState vm = this.vms.get(id);
 		if (vm != null) {
 			vm.registered = false;
-			if (vm.tasks.isEmpty()) {
-				this.vms.remove(id);
-			}
 		}
 	}
 
@@ -98,6 +95,7 @@
 		VmState vm = this.vms.get(id);
 		if (vm != null) {
 			vm.renewing = false;
+			vm.silent = true;
 			vm.renewAt = now.ticks() + this.timings.retryMs();
 		}
 	}
@@ -131,6 +129,7 @@
 			vm.leaseUntil = Math.max(vm.leaseUntil, clockMs + this.timings.longestLeaseMs());
 		}
 		vm.renewing = false;
+		vm.silent = false;
 		vm.fenced = true;
 		vm.renewAt = now.ticks();
 		vm.acknowledged = Math.max(vm.acknowledged, vm.acknowledgeable());
@@ -138,10 +137,22 @@
 	}
 
 	/**
-	 * The end of a lease that begins now, on the VM's clock.
+	 * The end of the lease to offer a VM now, on its clock. An offer without an answer
+	 * may still be taken, so a silent VM is offered no more than before: else its lease
+	 * would never surely end.
+	 */
+	long offerLease(VmState vm, Moment now) {
+		if (!vm.silent) {
+			vm.leaseUntil = Math.max(vm.leaseUntil, vm.clockMs + (now.ticks() - vm.heardAt) + this.timings.leaseMs());
+		}
+		return vm.leaseUntil;
+	}
+
+	/**
+	 * Forgets VMs that are not registered and run nothing.
 	 */
-	long leaseEnd(VmState vm, Moment now) {
-		return vm.clockMs + (now.ticks() - vm.heardAt) + this.timings.leaseMs();
+	void forgetGone() {
+		this.vms.values().removeIf((vm) -> !vm.registered && vm.tasks.isEmpty());
 	}
 
 	/**
@@ -157,9 +168,7 @@
 		if (unstored && now.ticks() < vm.renewSentAt + UNSTORED_PAUSE_MS) {
 			return Optional.empty();
 		}
-		boolean extend = sure && vm.fenced;
-		long leaseUntil = extend ? leaseEnd(vm, now) : 0;
-		vm.leaseUntil = Math.max(vm.leaseUntil, leaseUntil);
+		long leaseUntil = (sure && vm.fenced && !vm.silent) ? offerLease(vm, now) : 0;
 		vm.renewing = true;
 		vm.renewSentAt = now.ticks();
 		boolean busy = vm.fenced && !unstored && !vm.tasks.isEmpty();
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -175,6 +175,7 @@
 	 * and runs started
 	 */
 	public void advance(Moment now, boolean sure) {
+		this.fleet.forgetGone();
 		for (VmState vm : this.fleet.all()) {
 			if (!vm.tasks.isEmpty() && this.fleet.surelyLapsed(vm, now)) {
 				vm.tasks.stream()
--- a/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
@@ -66,8 +66,7 @@
 				continue;
 			}
 			if (task.phase == TaskPhase.PLACED) {
-				long leaseUntil = this.fleet.leaseEnd(vm, now);
-				vm.leaseUntil = Math.max(vm.leaseUntil, leaseUntil);
+				long leaseUntil = this.fleet.offerLease(vm, now);
 				task.orderedAt = now.ticks();
 				this.outbox.add(new Effect.Start(vm.report, task.id(), task.run, task.step.job.spec.payload(),
 						task.step.checkpoint(task), leaseUntil));
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -56,6 +56,9 @@
 	/** Until when it gets no new tasks, in ticks. */
 	long benchedUntil;
 
+	/** Whether the last renewal was not answered; its lease is then not extended. */
+	boolean silent;
+
 	/** Whether a renewal is under way. */
 	boolean renewing;
 
--- a/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
@@ -241,6 +241,13 @@
 			});
 		}
 
+		/**
+		 * Ends all runs as if another member of their gang had ended.
+		 */
+		void breakAll() {
+			Map.copyOf(this.running).forEach((task, run) -> end(task, run, VmAnswer.How.BROKEN));
+		}
+
 		private void end(TaskId task, Run run, VmAnswer.How how) {
 			this.running.remove(task);
 			this.ended.add(new VmAnswer.Ended(++this.number, task, run.number(), how, ""));
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -260,6 +260,43 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void whatRanOnAVmThatWentAwayStartsElsewhereOnceItsLeaseHasSurelyEnded() {
+		// given
+		FakeVm gone = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("job", "bulk", BookFixture.step(1, BookFixture.SMALL, 6_000));
+		this.fixture.pass(1_000);
+		this.fixture.vm("vm2", "r1");
+		// when
+		gone.cut = true;
+		this.fixture.book.vmGone("vm1");
+		this.fixture.pass(8_000);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(1);
+		this.fixture.pass(12_000);
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
+	@Test
+	void aGangOfWhichOneMembersVmWentAwayStartsAgainAsAWhole() {
+		// given
+		FakeVm gone = this.fixture.vm("vm1", "r1");
+		this.fixture.vm("vm2", "r1");
+		Resources whole = new Resources(52_000, 210_000, 8);
+		this.fixture.submit("job", "normal", BookFixture.gang(2, whole, 6_000, false));
+		this.fixture.pass(1_000);
+		this.fixture.vm("vm3", "r1");
+		// when
+		gone.cut = true;
+		this.fixture.book.vmGone("vm1");
+		this.fixture.vms.get("vm2").breakAll();
+		this.fixture.pass(25_000);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(4);
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
 	@Test
 	void aTaskThatStandsStillIsMoved() {
 		// given
