--- a/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
+++ b/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
@@ -46,6 +46,10 @@
 		}
 	}
 
+	/**
+	 * An end of another run than the one that is recorded counts only if it is good and
+	 * the task was not placed again since: a run that was may begin at any moment.
+	 */
 	private void ended(VmState vm, VmAnswer.Ended ended, Moment now) {
 		vm.seenEnd = ended.number();
 		TaskState task = this.tasks.apply(ended.task());
@@ -53,7 +57,7 @@
 			return;
 		}
 		boolean current = task.run == ended.run() && task.vm.equals(vm.id()) && task.phase.takesRoom();
-		if (!current && ended.how() != VmAnswer.How.DONE) {
+		if (!current && !(ended.how() == VmAnswer.How.DONE && task.phase == TaskPhase.WAITING)) {
 			return;
 		}
 		vm.unstoredEnds.add(ended.number());
--- a/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
@@ -74,7 +74,8 @@
 	private static void decode(JsonNode node, TaskState task) {
 		task.phase = switch (node.path(0).asText()) {
 			case "D" -> TaskPhase.DONE;
-			case "P", "R", "S" -> TaskPhase.PLACED;
+			case "P", "R" -> TaskPhase.PLACED;
+			case "S" -> TaskPhase.STOPPING;
 			case "E" -> TaskPhase.ENDED;
 			default -> TaskPhase.WAITING;
 		};
