Turn callers away at once while the store is known to be silent

Now a process that has not heard the store for 2 s refuses at once, writes are repeated for 0.8 s at most, and a second peer is asked only while peers answer quickly. A refusal is still only given where nothing was sent. A test fails without the change.

--- a/src/main/java/org/citronrelay/internal/cluster/BatchDesk.java
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchDesk.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -14,6 +15,8 @@
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.schedule.JobPhase;
 import org.citronrelay.internal.schedule.ProgressCodec;
+import org.citronrelay.internal.time.Pause;
+import org.citronrelay.internal.time.Ticker;
 
 /**
  * Takes jobs in, and tells what became of them. It keeps nothing: what it says is what
@@ -24,21 +27,43 @@
 	/** When to come back while the store does not answer, in milliseconds. */
 	private static final long STORE_AWAY_MS = 1_000;
 
-	/** How many times a write without an answer is repeated before the caller is told. */
-	private static final int WRITES = 3;
+	/** How long the store may be silent before callers are turned away at once, in ms. */
+	private static final long SILENT_MS = 2_000;
+
+	/**
+	 * How long a write without an answer is repeated before the caller is told, in ms.
+	 */
+	private static final long REPEAT_MS = 800;
+
+	/** The pause between two writes, in milliseconds. */
+	private static final long PAUSE_MS = 20;
 
 	private static final byte[] MARK = { '1' };
 
 	private final ClusterStore store;
 
-	public BatchDesk(ClusterStore store) {
+	private final Ticker ticker;
+
+	private final LongSupplier heardAt;
+
+	/**
+	 * A desk over a store.
+	 * @param heardAt when the store last answered this process, in ticks
+	 */
+	public BatchDesk(ClusterStore store, Ticker ticker, LongSupplier heardAt) {
 		this.store = store;
+		this.ticker = ticker;
+		this.heardAt = heardAt;
 	}
 
 	/**
 	 * Stores a job, once for each id.
 	 */
 	public Submission submit(BatchJob job) {
+		Option<String> away = away(this.ticker.millis());
+		if (away.isDefined()) {
+			return new Submission.Refused(away.get(), STORE_AWAY_MS);
+		}
 		return switch (create(Keys.JOBS + job.id(), JobCodec.encode(job))) {
 			case Created.Yes _ -> new Submission.Accepted();
 			case Created.No no -> new Submission.Refused(no.reason(), STORE_AWAY_MS);
@@ -67,6 +92,10 @@
 	 * known.
 	 */
 	public Either<String, Option<JobPhase>> phase(String id) {
+		Option<String> away = away(this.ticker.millis());
+		if (away.isDefined()) {
+			return Either.left(away.get());
+		}
 		Either<StoreFailure, Option<KvEntry>> progress = this.store.read(Keys.PROGRESS + id);
 		if (progress.isLeft()) {
 			return Either.left(progress.getLeft().phrase());
@@ -90,22 +119,35 @@
 				.getOrElse(0));
 	}
 
+	/**
+	 * Why nothing can be asked of the store now, nothing where it can. Other calls go on
+	 * asking it, so its return is noticed.
+	 */
+	private Option<String> away(long now) {
+		long silentMs = now - this.heardAt.getAsLong();
+		return (silentMs > SILENT_MS) ? Option.some("the store has not answered for " + silentMs + " ms")
+				: Option.none();
+	}
+
 	private Created create(String key, byte[] value) {
 		Transaction create = new Transaction(Map.of(key, 0L), List.of(new Put(key, value, "")), List.of());
-		StoreFailure open = null;
-		for (int attempt = 0; attempt < WRITES; attempt++) {
+		long deadline = this.ticker.millis() + REPEAT_MS;
+		Option<StoreFailure> open = Option.none();
+		while (true) {
 			Either<StoreFailure, Long> written = this.store.transact(create);
 			if (written.isRight() || written.getLeft() instanceof StoreFailure.Conflict) {
 				return new Created.Yes();
 			}
 			if (written.getLeft() instanceof StoreFailure.Ambiguous) {
-				open = written.getLeft();
+				open = Option.some(written.getLeft());
 			}
-			else if (open == null) {
+			else if (open.isEmpty()) {
 				return new Created.No(written.getLeft().phrase());
 			}
+			if (this.ticker.millis() >= deadline || !Pause.millis(PAUSE_MS)) {
+				return new Created.Open(open.get().phrase());
+			}
 		}
-		return new Created.Open(open.phrase());
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -95,7 +95,8 @@
 	public void start() {
 		this.balancer = HttpEndpoint.start(this.settings.listen().balancer(), HttpLimits.DEFAULT,
 				this.adapter.balancer(this::ready));
-		HttpHandler handler = this.adapter.callers(new BatchDesk(this.store), this.catalogue::current);
+		HttpHandler handler = this.adapter.callers(new BatchDesk(this.store, this.ticker, this.route::reachedAt),
+				this.catalogue::current);
 		this.callers = HttpEndpoint.start(this.settings.listen().callers(), HttpLimits.DEFAULT,
 				(call) -> closeWhileLeaving(measured(handler, call)));
 		this.metrics.watch(this::figures, () -> this.catalogue.current().version());
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -26,7 +26,7 @@
 	/** The longest that a call to a peer takes beyond the store's own time. */
 	private static final long HOP_MS = 100;
 
-	/** How many peers are asked for one call. */
+	/** How many peers are asked for one call, as long as they answer quickly. */
 	private static final int PEERS_ASKED = 2;
 
 	private static final int TOO_MANY = 429;
@@ -45,12 +45,13 @@
 
 	private volatile long directAgainAt = Long.MIN_VALUE;
 
-	private volatile long reachedAt = Long.MIN_VALUE;
+	private volatile long reachedAt;
 
 	private volatile boolean lost;
 
 	StoreRoute(HttpClient client, Address store, Supplier<List<Address>> peers, Ticker ticker, ClusterMetrics metrics) {
 		this.metrics = metrics;
+		this.reachedAt = ticker.millis();
 		this.client = client;
 		this.store = store;
 		this.peers = peers;
@@ -112,7 +113,7 @@
 			long began = this.ticker.millis();
 			last = this.client.exchange(known.get((first + asked) % known.size()), wrapped, timeoutMs + HOP_MS, false);
 			this.metrics.stored("peer", outcome(last), this.ticker.millis() - began);
-			if (served(last)) {
+			if (served(last) || this.ticker.millis() - began > timeoutMs) {
 				return last;
 			}
 		}
--- a/src/test/java/org/citronrelay/internal/cluster/BatchDeskTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/BatchDeskTests.java
@@ -17,7 +17,11 @@
 
 	private final MemoryStore store = new MemoryStore();
 
-	private final BatchDesk desk = new BatchDesk(this.store);
+	private long now;
+
+	private long heardAt;
+
+	private final BatchDesk desk = desk(this.store);
 
 	@Test
 	void aJobIsAcceptedOnceItIsStored() {
@@ -63,11 +67,23 @@
 		// given
 		ClusterStore silentThenAway = new SilentThenAwayStore(this.store);
 		// when
-		Submission submission = new BatchDesk(silentThenAway).submit(job("a"));
+		Submission submission = desk(silentThenAway).submit(job("a"));
 		// then
 		assertThat(submission).isInstanceOf(Submission.Unknown.class);
 	}
 
+	@Test
+	void callersAreTurnedAwayAtOnceWhileTheStoreIsKnownToBeSilent() {
+		// given
+		this.heardAt = -2_001;
+		// when
+		Submission submission = this.desk.submit(job("a"));
+		// then
+		assertThat(submission).isInstanceOf(Submission.Refused.class);
+		assertThat(this.store.list(Keys.JOBS).get().entries()).isEmpty();
+		assertThat(this.desk.phase("a").isLeft()).isTrue();
+	}
+
 	@Test
 	void nothingIsSaidOfAJobThatCannotBeLookedUp() {
 		// given
@@ -91,6 +107,10 @@
 		assertThat(this.desk.cancel("unknown").get()).isEmpty();
 	}
 
+	private BatchDesk desk(ClusterStore over) {
+		return new BatchDesk(over, () -> this.now += 10, () -> this.heardAt);
+	}
+
 	static BatchJob job(String id) {
 		Step step = new Step(1, new Resources(1_000, 1_000, 1), 1_000, List.of(), Step.Shape.INDEPENDENT,
 				Step.Limits.NONE, false);
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -33,7 +33,7 @@
 
 	private final MemoryStore store = new MemoryStore();
 
-	private final BatchDesk desk = new BatchDesk(this.store);
+	private final BatchDesk desk = new BatchDesk(this.store, () -> 0, () -> 0);
 
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
