Never call a write unsent that a peer may have carried

Now any way that may have carried a write leaves the outcome open (504), and a peer tells no effect (503) from perhaps (504). Six tests on scripted ways to the store

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -1,12 +1,10 @@
 package org.citronrelay.internal.cluster;
 
-import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.http.HttpEndpoint;
@@ -40,8 +38,6 @@
 
 	private static final int OK = 200;
 
-	private static final int UNAVAILABLE = 503;
-
 	private final ClusterSettings settings;
 
 	private final Ticker ticker = Ticker.system();
@@ -82,7 +78,8 @@
 		this.settings = settings;
 		this.adapter = adapter;
 		this.members = new Members(settings);
-		this.route = new StoreRoute(this.client, settings.store(), this.members::others, this.ticker, this.metrics);
+		this.route = new StoreRoute((to, call, timeoutMs) -> this.client.exchange(to, call, timeoutMs, false),
+				settings.store(), this.members::others, this.ticker, this.metrics);
 		this.store = adapter.store(this.route);
 		this.catalogue = new CatalogueWatch(this.store, adapter.sources());
 		this.election = new Election(this.store, this.ticker, settings.process() + "/" + UUID.randomUUID(),
@@ -187,19 +184,7 @@
 		if (!call.path().startsWith(StoreRoute.RELAY)) {
 			return Problem.of(404, "no-such-path", "There is nothing here.", "Check the path.").reply();
 		}
-		HttpCall inner = new HttpCall(call.method(), call.path().substring(StoreRoute.RELAY.length()), call.query(),
-				Map.of("Content-Type", "application/json"), call.body());
-		return switch (this.route.direct(inner, RELAY_MS)) {
-			case Exchange.Answered answered -> answered.reply();
-			case Exchange.NotSent notSent -> unreached(notSent.reason());
-			case Exchange.Broken broken -> unreached(broken.reason());
-		};
-	}
-
-	private static HttpReply unreached(String reason) {
-		return Problem
-			.of(UNAVAILABLE, "store-away", "This process does not reach the store: " + reason, "Ask another process.")
-			.reply();
+		return this.route.passOn(call, RELAY_MS);
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -7,7 +7,8 @@
 import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
-import org.citronrelay.internal.http.HttpClient;
+import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.internal.http.Problem;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.time.Ticker;
 
@@ -33,7 +34,11 @@
 
 	private static final int SERVER_FAULT = 500;
 
-	private final HttpClient client;
+	private static final int UNAVAILABLE = 503;
+
+	private static final int TIMED_OUT = 504;
+
+	private final Line line;
 
 	private final Address store;
 
@@ -49,13 +54,13 @@
 
 	private volatile boolean lost;
 
-	StoreRoute(HttpClient client, Address store, Supplier<List<Address>> peers, Ticker ticker, ClusterMetrics metrics) {
-		this.metrics = metrics;
-		this.reachedAt = ticker.millis();
-		this.client = client;
+	StoreRoute(Line line, Address store, Supplier<List<Address>> peers, Ticker ticker, ClusterMetrics metrics) {
+		this.line = line;
 		this.store = store;
 		this.peers = peers;
 		this.ticker = ticker;
+		this.metrics = metrics;
+		this.reachedAt = ticker.millis();
 	}
 
 	/**
@@ -89,7 +94,7 @@
 	 */
 	Exchange direct(HttpCall call, long timeoutMs) {
 		long began = this.ticker.millis();
-		Exchange exchange = this.client.exchange(this.store, call, timeoutMs, false);
+		Exchange exchange = this.line.exchange(this.store, call, timeoutMs);
 		this.metrics.stored("direct", outcome(exchange), this.ticker.millis() - began);
 		return exchange;
 	}
@@ -101,23 +106,43 @@
 		return this.reachedAt;
 	}
 
+	/**
+	 * Passes on a call that a peer sent, to the store only.
+	 * @return the store's answer; 503 where the call surely had no effect, 504 where it
+	 * may have had one
+	 */
+	HttpReply passOn(HttpCall call, long timeoutMs) {
+		HttpCall inner = new HttpCall(call.method(), call.path().substring(RELAY.length()), call.query(),
+				call.headers(), call.body());
+		return switch (direct(inner, timeoutMs)) {
+			case Exchange.Answered answered -> answered.reply();
+			case Exchange.NotSent notSent -> unreached(UNAVAILABLE, notSent.reason());
+			case Exchange.Broken broken -> unreached(TIMED_OUT, broken.reason());
+		};
+	}
+
 	private Exchange relayed(HttpCall call, long timeoutMs) {
 		List<Address> known = this.peers.get();
-		Exchange last = new Exchange.NotSent("no peer is known");
+		Exchange failed = new Exchange.NotSent("no peer is known");
 		if (known.isEmpty()) {
-			return last;
+			return failed;
 		}
 		int first = ThreadLocalRandom.current().nextInt(known.size());
 		HttpCall wrapped = new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(), call.body());
+		long began = this.ticker.millis();
 		for (int asked = 0; asked < Math.min(PEERS_ASKED, known.size()); asked++) {
-			long began = this.ticker.millis();
-			last = this.client.exchange(known.get((first + asked) % known.size()), wrapped, timeoutMs + HOP_MS, false);
-			this.metrics.stored("peer", outcome(last), this.ticker.millis() - began);
-			if (served(last) || this.ticker.millis() - began > timeoutMs) {
-				return last;
+			Exchange exchange = this.line.exchange(known.get((first + asked) % known.size()), wrapped,
+					timeoutMs + HOP_MS);
+			this.metrics.stored("peer", outcome(exchange), this.ticker.millis() - began);
+			if (served(exchange)) {
+				return exchange;
+			}
+			failed = (asked > 0) ? worse(failed, exchange) : exchange;
+			if (this.ticker.millis() - began > timeoutMs) {
+				break;
 			}
 		}
-		return last;
+		return failed;
 	}
 
 	private void reached(String how) {
@@ -129,10 +154,25 @@
 	}
 
 	/**
-	 * Of two failures the one that leaves more open: a call that may have arrived.
+	 * Of two failures the one that leaves more open: a call that may have had its effect.
 	 */
 	private static Exchange worse(Exchange one, Exchange other) {
-		return (one instanceof Exchange.Broken) ? one : other;
+		return mayHaveEffect(one) ? one : other;
+	}
+
+	private static boolean mayHaveEffect(Exchange exchange) {
+		return switch (exchange) {
+			case Exchange.Broken _ -> true;
+			case Exchange.NotSent _ -> false;
+			case Exchange.Answered answered ->
+				answered.reply().status() != TOO_MANY && answered.reply().status() != UNAVAILABLE;
+		};
+	}
+
+	private static HttpReply unreached(int status, String reason) {
+		return Problem
+			.of(status, "store-away", "This process does not reach the store: " + reason, "Ask another process.")
+			.reply();
 	}
 
 	private static boolean served(Exchange exchange) {
@@ -156,4 +196,18 @@
 		};
 	}
 
+	/**
+	 * Sends one call to one address and waits for the answer.
+	 */
+	@FunctionalInterface
+	interface Line {
+
+		/**
+		 * Sends a call.
+		 * @param timeoutMs how long to wait for the answer, in milliseconds
+		 */
+		Exchange exchange(Address to, HttpCall call, long timeoutMs);
+
+	}
+
 }
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
@@ -0,0 +1,102 @@
+package org.citronrelay.internal.cluster;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.Exchange;
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpReply;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the ways to the store.
+ */
+class StoreRouteTests {
+
+	private static final Address STORE = new Address("10.0.0.1", 1);
+
+	private static final HttpCall CALL = HttpCall.of("POST", "/write");
+
+	private final Deque<Exchange> script = new ArrayDeque<>();
+
+	private final List<String> asked = new ArrayList<>();
+
+	private final StoreRoute route = new StoreRoute((to, call, timeoutMs) -> {
+		this.asked.add((to.equals(STORE) ? "store " : "peer ") + call.path());
+		return this.script.pop();
+	}, STORE, () -> List.of(new Address("10.0.0.2", 2), new Address("10.0.0.3", 3)), () -> 0, new ClusterMetrics());
+
+	@Test
+	void aPeerCarriesWhatTheStoreTurnsAway() {
+		// given
+		this.script.addAll(List.of(answered(503), answered(200)));
+		// when
+		Exchange exchange = this.route.exchange(CALL, 100);
+		// then
+		assertThat(status(exchange)).isEqualTo(200);
+		assertThat(this.asked).containsExactly("store /write", "peer /relay/write");
+	}
+
+	@Test
+	void aCallThatOnePeerMayHaveCarriedIsNotCalledUnsent() {
+		// given
+		this.script.addAll(List.of(answered(503), new Exchange.Broken("no answer", true), notSent()));
+		// then
+		assertThat(this.route.exchange(CALL, 100)).isInstanceOf(Exchange.Broken.class);
+	}
+
+	@Test
+	void aCallThatAPeerSentWithoutAnAnswerIsNotCalledUnsent() {
+		// given
+		this.script.addAll(List.of(notSent(), answered(504), answered(503)));
+		// then
+		assertThat(status(this.route.exchange(CALL, 100))).isEqualTo(504);
+	}
+
+	@Test
+	void aDirectCallWithoutAnAnswerStaysOpenWhenNoPeerServes() {
+		// given
+		this.script.addAll(List.of(new Exchange.Broken("no answer", true), answered(503), notSent()));
+		// then
+		assertThat(this.route.exchange(CALL, 100)).isInstanceOf(Exchange.Broken.class);
+	}
+
+	@Test
+	void aCallThatNoWayTookIsSurelyUnsent() {
+		// given
+		this.script.addAll(List.of(answered(429), answered(503), notSent()));
+		// then
+		assertThat(this.route.exchange(CALL, 100)).isInstanceOf(Exchange.NotSent.class);
+	}
+
+	@Test
+	void whatIsPassedOnForAPeerTellsNoEffectFromPerhaps() {
+		// given
+		HttpCall relayed = HttpCall.of("POST", "/relay/write");
+		this.script.addAll(List.of(new Exchange.Broken("no answer", true), notSent(), answered(412)));
+		// then
+		assertThat(this.route.passOn(relayed, 100).status()).isEqualTo(504);
+		assertThat(this.route.passOn(relayed, 100).status()).isEqualTo(503);
+		assertThat(this.route.passOn(relayed, 100).status()).isEqualTo(412);
+		assertThat(this.asked).containsOnly("store /write");
+	}
+
+	private static Exchange answered(int status) {
+		return new Exchange.Answered(new HttpReply(status, Map.of(), new byte[0]));
+	}
+
+	private static Exchange notSent() {
+		return new Exchange.NotSent("no connection");
+	}
+
+	private static int status(Exchange exchange) {
+		return (exchange instanceof Exchange.Answered answered) ? answered.reply().status() : 0;
+	}
+
+}
