--- a/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
+++ b/src/main/java/org/citronrelay/internal/schedule/AnswerIntake.java
@@ -53,19 +53,30 @@
 	private void ended(VmState vm, VmAnswer.Ended ended, Moment now) {
 		vm.seenEnd = ended.number();
 		TaskState task = this.tasks.apply(ended.task());
-		if (task == null || task.phase == TaskPhase.DONE) {
+		if (task == null) {
+			return;
+		}
+		JobState job = task.step.job;
+		if (task.phase == TaskPhase.DONE) {
+			if (job.unsaved || job.saving) {
+				acknowledgeOnceStored(vm, ended, job);
+			}
 			return;
 		}
 		boolean current = task.run == ended.run() && task.vm.equals(vm.id()) && task.phase.takesRoom();
 		if (!current && !(ended.how() == VmAnswer.How.DONE && task.phase == TaskPhase.WAITING)) {
 			return;
 		}
-		vm.unstoredEnds.add(ended.number());
-		task.step.job.afterSave.add(() -> vm.unstoredEnds.remove(ended.number()));
-		task.step.job.unsaved = true;
+		acknowledgeOnceStored(vm, ended, job);
 		this.lifecycle.ended(task, vm, ended, now);
 	}
 
+	private static void acknowledgeOnceStored(VmState vm, VmAnswer.Ended ended, JobState job) {
+		vm.unstoredEnds.add(ended.number());
+		job.afterSave.add(() -> vm.unstoredEnds.remove(ended.number()));
+		job.unsaved = true;
+	}
+
 	private void running(VmState vm, VmAnswer.Running running, Moment now) {
 		TaskState task = this.tasks.apply(running.task());
 		boolean wanted = task != null && task.run == running.run() && task.vm.equals(vm.id()) && task.phase.takesRoom();
--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -41,15 +41,22 @@
 		if (due.isEmpty()) {
 			return;
 		}
-		due.sort(new QueueOrder(now, queues).comparator());
+		QueueOrder order = new QueueOrder(now, queues);
+		due.sort(order.comparator());
 		Guarantees guarantees = Guarantees.of(jobs, teams);
 		Placer placer = new Placer(this.fleet.rooms(now));
 		for (StepState step : due) {
-			place(step, placer, guarantees, now);
+			List<TaskState> left = place(step, placer, now);
+			if (!left.isEmpty() && step.job.priority == 0 && !order.hopeless(step)) {
+				makeRoom(step, left, placer, guarantees, now);
+			}
 		}
 	}
 
-	private void place(StepState step, Placer placer, Guarantees guarantees, Moment now) {
+	/**
+	 * Gives VMs to the tasks of a step, as far as there is room; returns the others.
+	 */
+	private List<TaskState> place(StepState step, Placer placer, Moment now) {
 		List<TaskState> waiting = step.waiting();
 		List<Room> chosen = placer.place(step, waiting, (room) -> room.free);
 		long run = step.spec.gang() ? step.nextRun(waiting.getFirst()) : 0;
@@ -63,10 +70,7 @@
 					"step " + step.number + ": " + chosen.size() + " of " + waiting.size() + " tasks on " + vms(chosen)
 							+ " after " + (now.wallMs() - step.job.spec.acceptedAtMs()) + " ms");
 		}
-		List<TaskState> left = waiting.subList(chosen.size(), waiting.size());
-		if (!left.isEmpty() && step.job.priority == 0) {
-			makeRoom(step, left, placer, guarantees, now);
-		}
+		return waiting.subList(chosen.size(), waiting.size());
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
+++ b/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
@@ -30,21 +30,24 @@
 	 * soonest.
 	 */
 	Comparator<StepState> comparator() {
-		return Comparator.comparingInt(this::hopeless)
+		return Comparator.comparing(this::hopeless)
 			.thenComparingInt((step) -> step.job.priority)
-			.thenComparingInt(this::late)
+			.thenComparing(this::late)
 			.thenComparingLong(this::latestStart);
 	}
 
-	int hopeless(StepState step) {
-		return (believedEnd(step) > begin(step) + (long) (LATE_FACTOR * allowance(step))) ? 1 : 0;
+	/**
+	 * Whether the job can no longer end in time to be of use.
+	 */
+	boolean hopeless(StepState step) {
+		return believedEnd(step) > begin(step) + (long) (LATE_FACTOR * allowance(step));
 	}
 
-	int late(StepState step) {
-		return (believedEnd(step) > begin(step) + allowance(step)) ? 1 : 0;
+	private boolean late(StepState step) {
+		return believedEnd(step) > begin(step) + allowance(step);
 	}
 
-	long latestStart(StepState step) {
+	private long latestStart(StepState step) {
 		return begin(step) + allowance(step) - step.job.chainLeftMs(step.occurrence);
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
@@ -45,6 +45,9 @@
 
 	boolean storeAway;
 
+	/** Whether writes are turned away. */
+	boolean refuseWrites;
+
 	/** Whether a write takes effect although its answer is lost. */
 	boolean loseAnswers;
 
@@ -139,6 +142,10 @@
 	 * Stores progress as the store does: under the revision that it replaces.
 	 */
 	private void store(JobBook.Write write) {
+		if (this.refuseWrites) {
+			this.book.notStored(write, write.revision());
+			return;
+		}
 		long current = this.revisions.getOrDefault(write.job(), 0L);
 		if (current != write.revision()) {
 			boolean own = Arrays.equals(this.progress.get(write.job()), write.document());
@@ -422,6 +429,13 @@
 			return sameStep && (run.step().gang() ? its.number() == run.number() : other.equals(task));
 		}
 
+		/**
+		 * Keeps everything that runs alive while time jumps.
+		 */
+		void renewAll() {
+			this.leaseUntil = BookFixture.this.now + TIMINGS.longestLeaseMs();
+		}
+
 		/**
 		 * Ends all runs as if another member of their gang had ended.
 		 */
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
@@ -29,8 +29,16 @@
 	/** Long enough for all leases to lapse and all work to be done again. */
 	private static final long QUIET_MS = 400_000;
 
+	/**
+	 * Seeds that were red once: gang ends acknowledged before the gang's end was stored.
+	 */
+	private static final long[] ONCE_RED = { 1298, 1671, 1709, 1742 };
+
 	static LongStream seeds() {
-		return LongStream.rangeClosed(Long.getLong("seeds.from", 1), Long.getLong("seeds.to", 200));
+		if (Long.getLong("seeds.from") != null) {
+			return LongStream.rangeClosed(Long.getLong("seeds.from"), Long.getLong("seeds.to"));
+		}
+		return LongStream.concat(LongStream.rangeClosed(1, 200), LongStream.of(ONCE_RED));
 	}
 
 	@ParameterizedTest
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -107,6 +107,62 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void theEndsOfAllMembersOfAGangAreAcknowledgedOnlyOnceTheGangsEndIsStored() {
+		// given
+		Resources whole = new Resources(52_000, 210_000, 8);
+		FakeVm first = this.fixture.vm("vm1", "r1");
+		FakeVm second = this.fixture.vm("vm2", "r1");
+		this.fixture.submit("job", "normal", BookFixture.gang(2, whole, 500, true));
+		this.fixture.pass(300);
+		// when
+		this.fixture.storeAway = true;
+		this.fixture.pass(5_000);
+		// then
+		assertThat(first.ended).hasSize(1);
+		assertThat(second.ended).hasSize(1);
+		this.fixture.storeAway = false;
+		this.fixture.pass(2_000);
+		assertThat(first.ended).isEmpty();
+		assertThat(second.ended).isEmpty();
+	}
+
+	@Test
+	void urgentWorkThatIsPastAllUseStopsNobody() {
+		// given
+		this.fixture.vm("vm1", "r1");
+		this.fixture.submit("bulk", "bulk", BookFixture.step(8, BookFixture.SMALL, 60_000));
+		this.fixture.pass(1_000);
+		// when
+		this.fixture.submit("urgent1", "urgent", BookFixture.step(8, BookFixture.SMALL, 9_000));
+		this.fixture.submit("urgent2", "urgent", BookFixture.step(8, BookFixture.SMALL, 1_000));
+		this.fixture.now += 60_000;
+		this.fixture.vms.get("vm1").renewAll();
+		this.fixture.pass(2_000);
+		// then
+		assertThat(this.fixture.seen).noneMatch((effect) -> effect instanceof Effect.Stop);
+	}
+
+	@Test
+	void nothingIsPlacedWhileProgressCannotBeStored() {
+		// given
+		this.fixture.vm("vm1", "r1");
+		this.fixture.submit("first", "bulk", BookFixture.step(1, BookFixture.SMALL, 60_000));
+		this.fixture.pass(100);
+		// when
+		this.fixture.refuseWrites = true;
+		this.fixture.submit("second", "bulk", BookFixture.step(1, BookFixture.SMALL, 500));
+		this.fixture.pass(200);
+		this.fixture.submit("third", "bulk", BookFixture.step(1, BookFixture.SMALL, 500));
+		this.fixture.pass(2_000);
+		// then
+		assertThat(this.fixture.seen).noneMatch((effect) -> effect instanceof Effect.Note note
+				&& note.job().equals("third") && note.what().equals("step placed"));
+		this.fixture.refuseWrites = false;
+		this.fixture.pass(2_000);
+		assertThat(this.fixture.phase("third")).isEqualTo("COMPLETED");
+	}
+
 	@Test
 	void noRunStartsBeforeItIsRecorded() {
 		// given
