Revert two of the last changes to placing: they let work wait at the end

The commit before kept useless urgent work from stopping others, and placed nothing while a write had failed. Useless urgent gangs need room made for them, or they wait behind fragments.

--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -44,9 +44,6 @@
 
 	private QueueCatalogue catalogue = QueueCatalogue.NONE;
 
-	/** Whether the last write took effect; what cannot be recorded is not placed. */
-	private boolean recording = true;
-
 	/**
 	 * A book of a coordinator that begins now.
 	 */
@@ -192,7 +189,7 @@
 			}
 			this.fleet.renewal(vm, now, sure).ifPresent(this.outbox::add);
 		}
-		if (sure && this.recording) {
+		if (sure) {
 			this.placing.run(this.jobs.values(), this.queues, this.catalogue.teams(), now);
 		}
 	}
@@ -228,7 +225,6 @@
 	 * Takes in that progress was stored.
 	 */
 	public void stored(Write write, long revision) {
-		this.recording = true;
 		JobState job = this.jobs.get(write.job());
 		if (job != null) {
 			job.saving = false;
@@ -243,7 +239,6 @@
 	 * @param revision the revision of what is stored instead
 	 */
 	public void notStored(Write write, long revision) {
-		this.recording = false;
 		JobState job = this.jobs.get(write.job());
 		if (job != null) {
 			job.saving = false;
--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -41,13 +41,12 @@
 		if (due.isEmpty()) {
 			return;
 		}
-		QueueOrder order = new QueueOrder(now, queues);
-		due.sort(order.comparator());
+		due.sort(new QueueOrder(now, queues).comparator());
 		Guarantees guarantees = Guarantees.of(jobs, teams);
 		Placer placer = new Placer(this.fleet.rooms(now));
 		for (StepState step : due) {
 			List<TaskState> left = place(step, placer, now);
-			if (!left.isEmpty() && step.job.priority == 0 && !order.hopeless(step)) {
+			if (!left.isEmpty() && step.job.priority == 0) {
 				makeRoom(step, left, placer, guarantees, now);
 			}
 		}
--- a/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
+++ b/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
@@ -39,7 +39,7 @@
 	/**
 	 * Whether the job can no longer end in time to be of use.
 	 */
-	boolean hopeless(StepState step) {
+	private boolean hopeless(StepState step) {
 		return believedEnd(step) > begin(step) + (long) (LATE_FACTOR * allowance(step));
 	}
 
