Cancel attempts to connect that take too long

Cause: an attempt that was given up after 500 ms went on, and a connection that opened later, when a cut had healed, stayed open for ever and counted against the 64 that a worker takes.

--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -143,21 +144,27 @@
 		return connect(address, Math.min(timeoutMs, CONNECT_TIMEOUT_MS));
 	}
 
+	/**
+	 * Opens a connection. An attempt that takes too long is cancelled, which also closes a
+	 * connection that would open later, when nobody waits for it any more.
+	 */
 	private Connection<?> connect(Address address, long timeoutMs) throws IOException {
+		GrizzlyFuture<Connection> attempt = TCPNIOConnectorHandler.builder(this.transport)
+			.processor(this.chain)
+			.build()
+			.connect(address.socket());
 		try {
-			return TCPNIOConnectorHandler.builder(this.transport)
-				.processor(this.chain)
-				.build()
-				.connect(address.socket())
-				.get(timeoutMs, TimeUnit.MILLISECONDS);
+			return attempt.get(timeoutMs, TimeUnit.MILLISECONDS);
 		}
 		catch (ExecutionException ex) {
 			throw new IOException(ex.getCause().getMessage(), ex.getCause());
 		}
 		catch (TimeoutException ex) {
+			attempt.cancel(true);
 			throw new IOException("no connection within " + timeoutMs + " ms", ex);
 		}
 		catch (InterruptedException ex) {
+			attempt.cancel(true);
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted", ex);
 		}
--- a/src/test/java/org/citronrelay/internal/http/HttpClientTests.java
+++ b/src/test/java/org/citronrelay/internal/http/HttpClientTests.java
@@ -1,5 +1,13 @@
 package org.citronrelay.internal.http;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -18,6 +26,9 @@
 
 	private static final long SILENCE_MS = 3_000;
 
+	/** More connections than a queue of length 1 takes. */
+	private static final int QUEUE_FILLERS = 4;
+
 	private final Address address = FreeAddresses.next();
 
 	private final AtomicReference<HttpHandler> handler = new AtomicReference<>((call) -> HttpReply.text(200, "whole"));
@@ -95,6 +106,48 @@
 				(answered) -> assertThat(new String(answered.reply().body())).isEqualTo("answer 2"));
 	}
 
+	@Test
+	void aConnectionThatComesTooLateIsNotKeptOpen() throws IOException {
+		// given a server whose queue of new connections is full
+		InetSocketAddress socket = this.address.socket();
+		try (ServerSocket full = new ServerSocket(socket.getPort(), 1, socket.getAddress())) {
+			List<Socket> fillers = new ArrayList<>();
+			for (int number = 0; number < QUEUE_FILLERS; number++) {
+				Socket filler = SocketChannel.open().socket();
+				filler.getChannel().configureBlocking(false);
+				filler.getChannel().connect(socket);
+				fillers.add(filler);
+			}
+			Exchange exchange = call(300);
+			assertThat(exchange).isInstanceOf(Exchange.NotSent.class);
+
+			// when the queue empties
+			full.setSoTimeout((int) SILENCE_MS);
+			List<Socket> accepted = acceptAll(full);
+			for (Socket filler : fillers) {
+				filler.getChannel().close();
+			}
+
+			// then
+			assertThat(accepted).isNotEmpty().allSatisfy((connection) -> {
+				connection.setSoTimeout((int) SILENCE_MS);
+				assertThat(connection.getInputStream().read()).as("closed by its client").isEqualTo(-1);
+			});
+		}
+	}
+
+	private static List<Socket> acceptAll(ServerSocket server) throws IOException {
+		List<Socket> accepted = new ArrayList<>();
+		while (true) {
+			try {
+				accepted.add(server.accept());
+			}
+			catch (SocketTimeoutException ex) {
+				return accepted;
+			}
+		}
+	}
+
 	private void serve(HttpHandler newHandler) {
 		this.handler.set(newHandler);
 		this.server = HttpEndpoint.start(this.address, HttpLimits.DEFAULT, (call) -> this.handler.get().handle(call));
