--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -145,8 +145,8 @@
 	}
 
 	/**
-	 * Opens a connection. An attempt that takes too long is cancelled, which also closes a
-	 * connection that would open later, when nobody waits for it any more.
+	 * Opens a connection. An attempt that takes too long is cancelled, which also closes
+	 * a connection that would open later, when nobody waits for it any more.
 	 */
 	private Connection<?> connect(Address address, long timeoutMs) throws IOException {
 		GrizzlyFuture<Connection> attempt = TCPNIOConnectorHandler.builder(this.transport)
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -190,7 +190,7 @@
 			this.fleet.renewal(vm, now, sure).ifPresent(this.outbox::add);
 		}
 		if (sure) {
-			this.placing.run(this.jobs.values(), this.queues, this.catalogue.teams(), now);
+			this.placing.run(this.jobs.values(), this.catalogue.teams(), now);
 		}
 	}
 
@@ -309,6 +309,7 @@
 			job.pool = queue.pool();
 			job.priority = queue.priority();
 			job.maxAttempts = queue.maxAttempts();
+			job.allowanceMs = (long) (queue.slack() * job.chainMs) + queue.objectiveMs();
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/JobState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobState.java
@@ -24,6 +24,9 @@
 	/** The priority of its queue. */
 	int priority = Integer.MAX_VALUE;
 
+	/** How long it may take to be in time, in milliseconds. */
+	long allowanceMs = Long.MAX_VALUE / 8;
+
 	/** How many runs of a task may fail. */
 	int maxAttempts = Integer.MAX_VALUE;
 
--- a/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
@@ -247,8 +247,8 @@
 		if (!job.phase.ended() && job.allDone()) {
 			job.phase = JobPhase.COMPLETED;
 			job.endedAt = now.ticks();
-			this.outbox.note(job.id(), "job completed",
-					"after " + (now.wallMs() - job.spec.acceptedAtMs()) + " ms in queue " + job.spec.queue());
+			this.outbox.note(job.id(), "job completed", "after " + (now.wallMs() - job.spec.acceptedAtMs())
+					+ " ms in queue " + job.spec.queue() + ", in time within " + job.allowanceMs + " ms");
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/Placer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Placer.java
@@ -18,8 +18,13 @@
 
 	private final List<Room> rooms;
 
+	private final Map<String, List<Room>> racks = new LinkedHashMap<>();
+
 	Placer(Collection<Room> rooms) {
 		this.rooms = List.copyOf(rooms);
+		for (Room room : this.rooms) {
+			this.racks.computeIfAbsent(room.rack(), (key) -> new ArrayList<>()).add(room);
+		}
 	}
 
 	/**
@@ -31,12 +36,12 @@
 		if (!step.spec.gang()) {
 			return choose(step, tasks, preferred(step), space);
 		}
-		if (!step.spec.shape().sameRack() || !someRackCouldHold(step)) {
-			return wholeOrNone(choose(step, tasks, this.rooms, space), tasks.size());
+		if (!tiedToARack(step)) {
+			return placeAnywhere(step, tasks, space);
 		}
 		List<Room> best = List.of();
 		double least = Double.MAX_VALUE;
-		for (List<Room> rack : racks().values()) {
+		for (List<Room> rack : this.racks.values()) {
 			List<Room> chosen = wholeOrNone(choose(step, tasks, rack, space), tasks.size());
 			double left = leftOver(rack, space);
 			if (!chosen.isEmpty() && left < least) {
@@ -47,12 +52,55 @@
 		return best;
 	}
 
+	/**
+	 * As {@link #place}, but on VMs where the tasks run slower, too: in other racks than
+	 * one, or far from their data.
+	 */
+	List<Room> placeAnywhere(StepState step, List<TaskState> tasks, Function<Room, Resources> space) {
+		List<Room> chosen = choose(step, tasks, this.rooms, space);
+		return step.spec.gang() ? wholeOrNone(chosen, tasks.size()) : chosen;
+	}
+
 	/**
 	 * The groups of VMs of which one has to hold the whole step.
 	 */
 	Collection<List<Room>> groups(StepState step) {
-		boolean tied = step.spec.gang() && step.spec.shape().sameRack() && someRackCouldHold(step);
-		return tied ? racks().values() : List.of(preferred(step));
+		return tiedToARack(step) ? this.racks.values() : List.of(preferred(step));
+	}
+
+	/**
+	 * All VMs as one group, for a step that may run slower.
+	 */
+	Collection<List<Room>> anywhere() {
+		return List.of(this.rooms);
+	}
+
+	/**
+	 * The share of a pool's capacity that is in use, of the resource that is scarcest.
+	 */
+	double usage(String pool) {
+		Resources capacity = Resources.NONE;
+		Resources free = Resources.NONE;
+		for (Room room : this.rooms) {
+			if (room.vm.report.pool().equals(pool)) {
+				capacity = capacity.plus(room.vm.report.capacity());
+				free = free.plus(room.free).plus(room.kept);
+			}
+		}
+		return capacity.minus(free).dominantShare(capacity);
+	}
+
+	/**
+	 * Lets a task return to VMs on which it failed once it has failed on all of them.
+	 */
+	void forgive(StepState step, TaskState task) {
+		if (!task.avoided.isEmpty() && this.rooms.stream().noneMatch((room) -> allowed(step, task, room, 0))) {
+			task.avoided.clear();
+		}
+	}
+
+	private boolean tiedToARack(StepState step) {
+		return step.spec.gang() && step.spec.shape().sameRack() && someRackCouldHold(step);
 	}
 
 	static boolean allowed(StepState step, TaskState task, Room room, int already) {
@@ -127,7 +175,7 @@
 	}
 
 	private boolean someRackCouldHold(StepState step) {
-		return racks().values().stream().anyMatch((rack) -> rack.stream().mapToLong((room) -> {
+		return this.racks.values().stream().anyMatch((rack) -> rack.stream().mapToLong((room) -> {
 			long fits = copies(step.spec.each(), room.vm.report.capacity());
 			int most = step.spec.limits().mostPerVm();
 			return (most > 0) ? Math.min(fits, most) : fits;
@@ -142,12 +190,4 @@
 		return Math.min(copies, Integer.MAX_VALUE);
 	}
 
-	private Map<String, List<Room>> racks() {
-		Map<String, List<Room>> racks = new LinkedHashMap<>();
-		for (Room room : this.rooms) {
-			racks.computeIfAbsent(room.rack(), (key) -> new ArrayList<>()).add(room);
-		}
-		return racks;
-	}
-
 }
--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -5,9 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
-import org.citronrelay.internal.batch.Queue;
 import org.citronrelay.internal.batch.QueueCatalogue.Team;
+import org.citronrelay.internal.batch.Resources;
 
 /**
  * Gives VMs to the tasks that wait, the most urgent first.
@@ -17,8 +18,22 @@
 	/** How much work others may lose for urgent work, as a multiple of its own size. */
 	private static final double MOST_LOST = 4;
 
+	/**
+	 * The share of a pool in use above which work that is past all use is not started:
+	 * the rest is left to what comes next.
+	 */
+	private static final double ROOM_FOR_USELESS = 0.7;
+
+	/** The share of a pool in use below which work need not wait for the best VMs. */
+	private static final double MOSTLY_FREE = 0.5;
+
+	/** How long work waits for the best VMs while most others are free, in ms. */
+	private static final long CHOOSY_MS = 1_500;
+
 	private static final double MILLIS = 1_000;
 
+	private static final Function<Room, Resources> NOW_FREE = (room) -> room.free;
+
 	private final Fleet fleet;
 
 	private final Lifecycle lifecycle;
@@ -31,7 +46,7 @@
 		this.outbox = outbox;
 	}
 
-	void run(Collection<JobState> jobs, Map<String, Queue> queues, Map<String, Team> teams, Moment now) {
+	void run(Collection<JobState> jobs, Map<String, Team> teams, Moment now) {
 		List<StepState> due = new ArrayList<>();
 		for (JobState job : jobs) {
 			if (!job.phase.ended() && !job.pool.isEmpty()) {
@@ -41,60 +56,92 @@
 		if (due.isEmpty()) {
 			return;
 		}
-		due.sort(new QueueOrder(now, queues).comparator());
-		Guarantees guarantees = Guarantees.of(jobs, teams);
-		Placer placer = new Placer(this.fleet.rooms(now));
-		for (StepState step : due) {
-			List<TaskState> left = place(step, placer, now);
-			if (!left.isEmpty() && step.job.priority == 0) {
-				makeRoom(step, left, placer, guarantees, now);
-			}
+		List<Room> rooms = this.fleet.rooms(now);
+		Round round = new Round(now, Guarantees.of(jobs, teams), new Placer(rooms),
+				new RoomKeeper(rooms.size(), now.ticks()));
+		due.sort(round.order().comparator());
+		due.forEach((step) -> serve(step, round));
+	}
+
+	/**
+	 * Gives a step what room there is. For what is left it makes room or keeps some.
+	 */
+	private void serve(StepState step, Round round) {
+		step.waitsSince = (step.waitsSince > 0) ? step.waitsSince : round.now().ticks();
+		boolean useless = round.order().useless(step);
+		if (useless && round.placer().usage(step.job.pool) > ROOM_FOR_USELESS) {
+			return;
+		}
+		step.waiting().forEach((task) -> round.placer().forgive(step, task));
+		List<TaskState> left = place(step, step.waiting(), round.placer().place(step, step.waiting(), NOW_FREE), round);
+		if (!left.isEmpty() && (useless || waitsBesideFreeRoom(step, round))) {
+			left = place(step, left, round.placer().placeAnywhere(step, left, NOW_FREE), round);
+		}
+		if (left.isEmpty()) {
+			step.waitsSince = 0;
+		}
+		else if (!makeRoom(step, left, round)) {
+			round.keeper().keep(step, step.spec.gang() ? left : left.subList(0, 1), round.placer().groups(step));
 		}
 	}
 
 	/**
-	 * Gives VMs to the tasks of a step, as far as there is room; returns the others.
+	 * Whether work has waited for the best VMs long enough while most others are free.
 	 */
-	private List<TaskState> place(StepState step, Placer placer, Moment now) {
-		List<TaskState> waiting = step.waiting();
-		List<Room> chosen = placer.place(step, waiting, (room) -> room.free);
+	private static boolean waitsBesideFreeRoom(StepState step, Round round) {
+		return round.now().ticks() - step.waitsSince >= CHOOSY_MS && round.placer().usage(step.job.pool) < MOSTLY_FREE;
+	}
+
+	/**
+	 * Gives the chosen VMs to the first tasks of a list; returns the others.
+	 */
+	private List<TaskState> place(StepState step, List<TaskState> waiting, List<Room> chosen, Round round) {
 		long run = step.spec.gang() ? step.nextRun(waiting.getFirst()) : 0;
 		for (int index = 0; index < chosen.size(); index++) {
 			TaskState task = waiting.get(index);
 			chosen.get(index).take(task.needs());
-			this.lifecycle.place(task, chosen.get(index).vm, step.spec.gang() ? run : step.nextRun(task), now);
+			this.lifecycle.place(task, chosen.get(index).vm, step.spec.gang() ? run : step.nextRun(task), round.now());
 		}
 		if (!chosen.isEmpty()) {
 			this.outbox.note(step.job.id(), "step placed",
 					"step " + step.number + ": " + chosen.size() + " of " + waiting.size() + " tasks on " + vms(chosen)
-							+ " after " + (now.wallMs() - step.job.spec.acceptedAtMs()) + " ms");
+							+ " after " + (round.now().wallMs() - step.job.spec.acceptedAtMs()) + " ms");
 		}
 		return waiting.subList(chosen.size(), waiting.size());
 	}
 
 	/**
 	 * Urgent work does not wait for others to end: it takes room that is being freed, or
-	 * stops less urgent runs. What its team was promised it gets at any cost; beyond that
-	 * it must be worth what is lost.
+	 * stops less urgent runs. What its team was promised it gets at any cost, also from
+	 * urgent work of teams beyond their promise; more than that only while it can meet
+	 * its objective, and only where it is worth what is lost.
+	 * @return whether it will have room
 	 */
-	private void makeRoom(StepState step, List<TaskState> left, Placer placer, Guarantees guarantees, Moment now) {
-		List<Room> soon = placer.place(step, left, (room) -> room.soon);
+	private boolean makeRoom(StepState step, List<TaskState> left, Round round) {
+		List<Room> soon = round.placer().place(step, left, (room) -> room.soon);
 		if (soon.size() == left.size()) {
 			soon.forEach((room) -> room.take(step.spec.each()));
-			return;
+			return true;
 		}
-		VictimPicker.Plan plan = new VictimPicker(now.ticks(), step.job.priority).plan(step, left, placer.groups(step));
-		if (plan.rooms().isEmpty()) {
-			return;
+		boolean promised = round.guarantees().covers(step.job);
+		if (!promised && (step.job.priority > 0 || round.order().late(step))) {
+			return false;
+		}
+		VictimPicker picker = new VictimPicker(round.now().ticks(), (other) -> other.priority > step.job.priority
+				|| (promised && other != step.job && !round.guarantees().covers(other)));
+		VictimPicker.Plan plan = picker.plan(step, left, round.placer().groups(step));
+		if (plan.rooms().isEmpty() && promised) {
+			plan = picker.plan(step, left, round.placer().anywhere());
 		}
 		double own = left.size() * step.spec.each().coreEquivalents() * step.spec.estimateMs() / MILLIS;
-		if (plan.cost() > MOST_LOST * own && !guarantees.covers(step.job)) {
-			return;
+		if (plan.rooms().isEmpty() || (!promised && plan.cost() > MOST_LOST * own)) {
+			return false;
 		}
 		this.outbox.note(step.job.id(), "others stopped for urgent work", plan.victims().size() + " runs, "
 				+ Math.round(plan.cost()) + " core-seconds not saved, for " + left.size() + " tasks");
 		plan.victims().forEach(this.lifecycle::stop);
 		plan.rooms().forEach((room) -> room.take(step.spec.each()));
+		return true;
 	}
 
 	private static Map<String, Integer> vms(List<Room> chosen) {
@@ -103,4 +150,20 @@
 		return counts;
 	}
 
+	/**
+	 * What one round of placing works with.
+	 *
+	 * @param now the present time
+	 * @param guarantees which teams are within what they were promised
+	 * @param placer chooses VMs
+	 * @param keeper keeps room for what is too large for now
+	 */
+	private record Round(Moment now, Guarantees guarantees, Placer placer, RoomKeeper keeper) {
+
+		QueueOrder order() {
+			return new QueueOrder(this.now, this.guarantees);
+		}
+
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
+++ b/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
@@ -1,9 +1,6 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.Comparator;
-import java.util.Map;
-
-import org.citronrelay.internal.batch.Queue;
 
 /**
  * The order in which steps get VMs when there is not room for all.
@@ -18,19 +15,20 @@
 
 	private final Moment now;
 
-	private final Map<String, Queue> queues;
+	private final Guarantees guarantees;
 
-	QueueOrder(Moment now, Map<String, Queue> queues) {
+	QueueOrder(Moment now, Guarantees guarantees) {
 		this.now = now;
-		this.queues = queues;
+		this.guarantees = guarantees;
 	}
 
 	/**
-	 * The most urgent first: what still matters, then by priority, then what must start
-	 * soonest.
+	 * The most urgent first: what a team was promised, then what still matters, then by
+	 * priority, then what must start soonest.
 	 */
 	Comparator<StepState> comparator() {
-		return Comparator.comparing(this::hopeless)
+		return Comparator.<StepState, Boolean>comparing((step) -> !this.guarantees.covers(step.job))
+			.thenComparing(this::useless)
 			.thenComparingInt((step) -> step.job.priority)
 			.thenComparing(this::late)
 			.thenComparingLong(this::latestStart);
@@ -39,33 +37,28 @@
 	/**
 	 * Whether the job can no longer end in time to be of use.
 	 */
-	private boolean hopeless(StepState step) {
-		return believedEnd(step) > begin(step) + (long) (LATE_FACTOR * allowance(step));
+	boolean useless(StepState step) {
+		return believedEnd(step) > begin(step) + (long) (LATE_FACTOR * step.job.allowanceMs);
 	}
 
-	private boolean late(StepState step) {
-		return believedEnd(step) > begin(step) + allowance(step);
+	/**
+	 * Whether the job can no longer meet its objective.
+	 */
+	boolean late(StepState step) {
+		return believedEnd(step) > begin(step) + step.job.allowanceMs;
 	}
 
 	private long latestStart(StepState step) {
-		return begin(step) + allowance(step) - step.job.chainLeftMs(step.occurrence);
+		return begin(step) + step.job.allowanceMs - step.job.chainLeftMs(step.occurrence);
 	}
 
 	private long believedEnd(StepState step) {
 		return this.now.wallMs() + (long) (BELIEVED * step.job.chainLeftMs(step.occurrence));
 	}
 
-	private long begin(StepState step) {
+	private static long begin(StepState step) {
 		long due = step.job.spec.repeat().dueAt(step.occurrence);
 		return (due > 0) ? due : step.job.spec.acceptedAtMs();
 	}
 
-	/**
-	 * How long the job may take to be in time, in milliseconds.
-	 */
-	private long allowance(StepState step) {
-		Queue queue = this.queues.get(step.job.spec.queue());
-		return (queue != null) ? (long) (queue.slack() * step.job.chainMs) + queue.objectiveMs() : Long.MAX_VALUE / 8;
-	}
-
 }
--- a/src/main/java/org/citronrelay/internal/schedule/Room.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Room.java
@@ -1,5 +1,8 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.Comparator;
+import java.util.List;
+
 import org.citronrelay.internal.batch.Resources;
 
 /**
@@ -15,6 +18,9 @@
 	/** What can be used once everything that is being stopped has ended. */
 	Resources soon;
 
+	/** What lies idle because it is kept for work that waits. */
+	Resources kept = Resources.NONE;
+
 	Room(VmState vm) {
 		this.vm = vm;
 		this.free = vm.free();
@@ -29,10 +35,42 @@
 		}
 	}
 
+	/**
+	 * When there will be room, if nothing else comes.
+	 * @param beside what is kept here already
+	 * @param now the present time in ticks
+	 * @return a time in ticks, {@link Long#MAX_VALUE} for never
+	 */
+	long fitsAt(Resources needs, Resources beside, long now) {
+		Resources space = this.soon.minus(beside);
+		if (needs.fits(space)) {
+			return now;
+		}
+		List<TaskState> running = this.vm.tasks.stream()
+			.filter((task) -> task.phase != TaskPhase.STOPPING)
+			.sorted(Comparator.comparingLong((task) -> task.expectedEnd(now)))
+			.toList();
+		for (TaskState task : running) {
+			space = space.plus(task.needs());
+			if (needs.fits(space)) {
+				return task.expectedEnd(now);
+			}
+		}
+		return Long.MAX_VALUE;
+	}
+
 	String rack() {
 		return this.vm.report.rack();
 	}
 
+	/**
+	 * Keeps room that is free, or will be, from all that comes after.
+	 */
+	void keep(Resources needs) {
+		this.kept = this.kept.plus(needs);
+		take(needs);
+	}
+
 	void take(Resources needs) {
 		this.free = this.free.minus(needs);
 		this.soon = this.soon.minus(needs);
--- a/src/main/java/org/citronrelay/internal/schedule/StepState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/StepState.java
@@ -26,6 +26,9 @@
 	/** The newest run of a gang that was counted as failed. */
 	long failedRun;
 
+	/** Since when tasks of the step wait for room, in ticks; 0 while none does. */
+	long waitsSince;
+
 	StepState(JobState job, int occurrence, int number, Step spec) {
 		this.job = job;
 		this.occurrence = occurrence;
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -11,6 +11,8 @@
  */
 final class TaskState {
 
+	private static final int WHOLE_PERCENT = 100;
+
 	final StepState step;
 
 	final int index;
@@ -74,6 +76,20 @@
 		return new TaskId(this.step.job.id(), this.step.occurrence, this.step.number, this.index);
 	}
 
+	/**
+	 * When the run will have ended by what it was said to take, or by its progress once
+	 * there is some.
+	 * @param now the present time in ticks
+	 */
+	long expectedEnd(long now) {
+		if (this.step.spec.shape().lasting()) {
+			return Long.MAX_VALUE;
+		}
+		long left = (this.percent > 0) ? (now - this.placedAt) * (WHOLE_PERCENT - this.percent) / this.percent
+				: this.step.spec.estimateMs() - (now - this.placedAt);
+		return now + Math.max(0, left);
+	}
+
 	/**
 	 * The work that would be lost if the run were stopped now, in core-seconds.
 	 */
--- a/src/main/java/org/citronrelay/internal/schedule/VictimPicker.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VictimPicker.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.citronrelay.internal.batch.Resources;
 
@@ -19,11 +20,16 @@
 
 	private final long now;
 
-	private final int priority;
+	private final Predicate<JobState> mayStop;
 
-	VictimPicker(long now, int priority) {
+	/**
+	 * A picker.
+	 * @param now the present time in ticks
+	 * @param mayStop which jobs have to yield
+	 */
+	VictimPicker(long now, Predicate<JobState> mayStop) {
 		this.now = now;
-		this.priority = priority;
+		this.mayStop = mayStop;
 	}
 
 	/**
@@ -111,8 +117,8 @@
 	}
 
 	private boolean stoppable(TaskState task) {
-		return (task.phase == TaskPhase.PLACED || task.phase == TaskPhase.RUNNING)
-				&& task.step.job.priority > this.priority && !task.step.spec.shape().lasting();
+		return (task.phase == TaskPhase.PLACED || task.phase == TaskPhase.RUNNING) && this.mayStop.test(task.step.job)
+				&& !task.step.spec.shape().lasting();
 	}
 
 	private double cost(List<TaskState> chosen, Set<TaskState> victims) {
