Make rounds of decisions cheaper, and count how long they take

The order compared steps by walking their tasks, and each VM was estimated anew for each member of a gang. Now each is computed once a round, or when it changed. A line each 5 s and citronrelay.decisions tell how long rounds take.

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
@@ -36,6 +36,13 @@
 		timer("citronrelay.store.calls", "way", way, "outcome", outcome).record(tookMs, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Counts a round of decisions of the coordinator.
+	 */
+	void decided(long tookMs) {
+		timer("citronrelay.decisions").record(tookMs, TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Counts an order to start a run.
 	 */
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -81,6 +81,8 @@
 
 	private volatile JobBook.Figures figures;
 
+	private final DecisionPace pace;
+
 	private boolean writing;
 
 	private long publishAt;
@@ -94,6 +96,7 @@
 		this.term = term;
 		this.book = new JobBook(parts.settings().coordination().timings(), now());
 		this.figures = this.book.figures();
+		this.pace = new DecisionPace(parts.metrics(), parts.ticker().millis());
 	}
 
 	/**
@@ -168,6 +171,7 @@
 		write();
 		publish();
 		sweep();
+		this.pace.took(began, this.parts.ticker().millis());
 		Pause.millis(Math.max(GATHER_MS, (this.parts.ticker().millis() - began) * (DECISION_SHARE - 1)));
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/Placer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Placer.java
@@ -20,6 +20,8 @@
 
 	private final Map<String, List<Room>> racks = new LinkedHashMap<>();
 
+	private final Map<String, Double> usages = new HashMap<>();
+
 	Placer(Collection<Room> rooms) {
 		this.rooms = List.copyOf(rooms);
 		for (Room room : this.rooms) {
@@ -79,6 +81,17 @@
 	 * The share of a pool's capacity that is in use, of the resource that is scarcest.
 	 */
 	double usage(String pool) {
+		return this.usages.computeIfAbsent(pool, this::countUsage);
+	}
+
+	/**
+	 * Takes in that VMs were given to tasks.
+	 */
+	void placed() {
+		this.usages.clear();
+	}
+
+	private double countUsage(String pool) {
 		Resources capacity = Resources.NONE;
 		Resources free = Resources.NONE;
 		for (Room room : this.rooms) {
--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -9,6 +9,7 @@
 
 import org.citronrelay.internal.batch.QueueCatalogue.Team;
 import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.schedule.QueueOrder.Urgency;
 
 /**
  * Gives VMs to the tasks that wait, the most urgent first.
@@ -59,28 +60,28 @@
 		List<Room> rooms = this.fleet.rooms(now);
 		Round round = new Round(now, Guarantees.of(jobs, teams), new Placer(rooms),
 				new RoomKeeper(rooms.size(), now.ticks()));
-		due.sort(round.order().comparator());
-		due.forEach((step) -> serve(step, round));
+		round.order().rank(due).forEach((urgency) -> serve(urgency, round));
 	}
 
 	/**
 	 * Gives a step what room there is. For what is left it makes room or keeps some.
 	 */
-	private void serve(StepState step, Round round) {
+	private void serve(Urgency urgency, Round round) {
+		StepState step = urgency.step();
 		step.waitsSince = (step.waitsSince > 0) ? step.waitsSince : round.now().ticks();
-		boolean useless = round.order().useless(step);
-		if (useless && round.placer().usage(step.job.pool) > ROOM_FOR_USELESS) {
+		if (urgency.useless() && round.placer().usage(step.job.pool) > ROOM_FOR_USELESS) {
 			return;
 		}
-		step.waiting().forEach((task) -> round.placer().forgive(step, task));
-		List<TaskState> left = place(step, step.waiting(), round.placer().place(step, step.waiting(), NOW_FREE), round);
-		if (!left.isEmpty() && (useless || waitsBesideFreeRoom(step, round))) {
+		List<TaskState> waiting = step.waiting();
+		waiting.forEach((task) -> round.placer().forgive(step, task));
+		List<TaskState> left = place(step, waiting, round.placer().place(step, waiting, NOW_FREE), round);
+		if (!left.isEmpty() && (urgency.useless() || waitsBesideFreeRoom(step, round))) {
 			left = place(step, left, round.placer().placeAnywhere(step, left, NOW_FREE), round);
 		}
 		if (left.isEmpty()) {
 			step.waitsSince = 0;
 		}
-		else if (!makeRoom(step, left, round)) {
+		else if (!makeRoom(urgency, left, round)) {
 			round.keeper().keep(step, step.spec.gang() ? left : left.subList(0, 1), round.placer().groups(step));
 		}
 	}
@@ -103,6 +104,7 @@
 			this.lifecycle.place(task, chosen.get(index).vm, step.spec.gang() ? run : step.nextRun(task), round.now());
 		}
 		if (!chosen.isEmpty()) {
+			round.placer().placed();
 			this.outbox.note(step.job.id(), "step placed",
 					"step " + step.number + ": " + chosen.size() + " of " + waiting.size() + " tasks on " + vms(chosen)
 							+ " after " + (round.now().wallMs() - step.job.spec.acceptedAtMs()) + " ms");
@@ -117,14 +119,15 @@
 	 * its objective, and only where it is worth what is lost.
 	 * @return whether it will have room
 	 */
-	private boolean makeRoom(StepState step, List<TaskState> left, Round round) {
+	private boolean makeRoom(Urgency urgency, List<TaskState> left, Round round) {
+		StepState step = urgency.step();
 		List<Room> soon = round.placer().place(step, left, (room) -> room.soon);
 		if (soon.size() == left.size()) {
 			soon.forEach((room) -> room.take(step.spec.each()));
 			return true;
 		}
-		boolean promised = round.guarantees().covers(step.job);
-		if (!promised && (step.job.priority > 0 || round.order().late(step))) {
+		boolean promised = urgency.promised();
+		if (!promised && (step.job.priority > 0 || urgency.late())) {
 			return false;
 		}
 		VictimPicker picker = new VictimPicker(round.now().ticks(), (other) -> other.priority > step.job.priority
--- a/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
+++ b/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
@@ -1,6 +1,7 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.Comparator;
+import java.util.List;
 
 /**
  * The order in which steps get VMs when there is not room for all.
@@ -26,39 +27,37 @@
 	 * The most urgent first: what a team was promised, then what still matters, then by
 	 * priority, then what must start soonest.
 	 */
-	Comparator<StepState> comparator() {
-		return Comparator.<StepState, Boolean>comparing((step) -> !this.guarantees.covers(step.job))
-			.thenComparing(this::useless)
-			.thenComparingInt((step) -> step.job.priority)
-			.thenComparing(this::late)
-			.thenComparingLong(this::latestStart);
+	List<Urgency> rank(List<StepState> steps) {
+		return steps.stream()
+			.map(this::urgency)
+			.sorted(Comparator.<Urgency, Boolean>comparing((urgency) -> !urgency.promised())
+				.thenComparing(Urgency::useless)
+				.thenComparingInt((urgency) -> urgency.step().job.priority)
+				.thenComparing(Urgency::late)
+				.thenComparingLong(Urgency::latestStart))
+			.toList();
 	}
 
-	/**
-	 * Whether the job can no longer end in time to be of use.
-	 */
-	boolean useless(StepState step) {
-		return believedEnd(step) > begin(step) + (long) (LATE_FACTOR * step.job.allowanceMs);
+	private Urgency urgency(StepState step) {
+		JobState job = step.job;
+		long due = job.spec.repeat().dueAt(step.occurrence);
+		long begin = (due > 0) ? due : job.spec.acceptedAtMs();
+		long left = job.chainLeftMs(step.occurrence);
+		long end = this.now.wallMs() + (long) (BELIEVED * left);
+		return new Urgency(step, this.guarantees.covers(job), end > begin + (long) (LATE_FACTOR * job.allowanceMs),
+				end > begin + job.allowanceMs, begin + job.allowanceMs - left);
 	}
 
 	/**
-	 * Whether the job can no longer meet its objective.
+	 * How urgent a step is.
+	 *
+	 * @param step the step
+	 * @param promised whether its team is within what it was promised
+	 * @param useless whether the job can no longer end in time to be of use
+	 * @param late whether the job can no longer meet its objective
+	 * @param latestStart when it should start at the latest, in milliseconds since 1970
 	 */
-	boolean late(StepState step) {
-		return believedEnd(step) > begin(step) + step.job.allowanceMs;
-	}
-
-	private long latestStart(StepState step) {
-		return begin(step) + step.job.allowanceMs - step.job.chainLeftMs(step.occurrence);
-	}
-
-	private long believedEnd(StepState step) {
-		return this.now.wallMs() + (long) (BELIEVED * step.job.chainLeftMs(step.occurrence));
-	}
-
-	private static long begin(StepState step) {
-		long due = step.job.spec.repeat().dueAt(step.occurrence);
-		return (due > 0) ? due : step.job.spec.acceptedAtMs();
+	record Urgency(StepState step, boolean promised, boolean useless, boolean late, long latestStart) {
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/schedule/Room.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Room.java
@@ -21,6 +21,9 @@
 	/** What lies idle because it is kept for work that waits. */
 	Resources kept = Resources.NONE;
 
+	/** The runs that go on, the first to end first; computed when asked for. */
+	private List<Ending> endings;
+
 	Room(VmState vm) {
 		this.vm = vm;
 		this.free = vm.free();
@@ -46,19 +49,26 @@
 		if (needs.fits(space)) {
 			return now;
 		}
-		List<TaskState> running = this.vm.tasks.stream()
-			.filter((task) -> task.phase != TaskPhase.STOPPING)
-			.sorted(Comparator.comparingLong((task) -> task.expectedEnd(now)))
-			.toList();
-		for (TaskState task : running) {
-			space = space.plus(task.needs());
+		for (Ending ending : endings(now)) {
+			space = space.plus(ending.frees());
 			if (needs.fits(space)) {
-				return task.expectedEnd(now);
+				return ending.at();
 			}
 		}
 		return Long.MAX_VALUE;
 	}
 
+	private List<Ending> endings(long now) {
+		if (this.endings == null) {
+			this.endings = this.vm.tasks.stream()
+				.filter((task) -> task.phase != TaskPhase.STOPPING)
+				.map((task) -> new Ending(task.expectedEnd(now), task.needs()))
+				.sorted(Comparator.comparingLong(Ending::at))
+				.toList();
+		}
+		return this.endings;
+	}
+
 	String rack() {
 		return this.vm.report.rack();
 	}
@@ -76,4 +86,13 @@
 		this.soon = this.soon.minus(needs);
 	}
 
+	/**
+	 * A run that will end.
+	 *
+	 * @param at when, in ticks
+	 * @param frees the room that it frees
+	 */
+	private record Ending(long at, Resources frees) {
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/schedule/RoomKeeper.java
+++ b/src/main/java/org/citronrelay/internal/schedule/RoomKeeper.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import org.citronrelay.internal.batch.Resources;
 
@@ -65,31 +63,53 @@
 	 * Chooses a VM for each task, and tells when the last of them has room.
 	 */
 	private long choose(StepState step, List<TaskState> tasks, List<Room> group, List<Room> chosen) {
-		Map<Room, Resources> kept = new HashMap<>();
-		Map<Room, Integer> taken = new HashMap<>();
+		Resources needs = step.spec.each();
+		List<Candidate> candidates = new ArrayList<>();
+		group.forEach((room) -> candidates.add(new Candidate(room, needs, this.now, Placer.placed(step, room))));
 		long ready = this.now;
 		for (TaskState task : tasks) {
-			Room best = null;
-			long soonest = Long.MAX_VALUE;
-			for (Room room : group) {
-				if (!Placer.allowed(step, task, room, taken.computeIfAbsent(room, (key) -> Placer.placed(step, key)))) {
-					continue;
-				}
-				long at = room.fitsAt(step.spec.each(), kept.getOrDefault(room, Resources.NONE), this.now);
-				if (at < soonest) {
-					soonest = at;
-					best = room;
+			Candidate best = null;
+			for (Candidate candidate : candidates) {
+				if (candidate.readyAt < ((best != null) ? best.readyAt : Long.MAX_VALUE)
+						&& Placer.allowed(step, task, candidate.room, candidate.placed)) {
+					best = candidate;
 				}
 			}
 			if (best == null) {
 				return Long.MAX_VALUE;
 			}
-			kept.merge(best, step.spec.each(), Resources::plus);
-			taken.merge(best, 1, Integer::sum);
-			chosen.add(best);
-			ready = Math.max(ready, soonest);
+			chosen.add(best.room);
+			ready = Math.max(ready, best.readyAt);
+			best.keepOneMore(needs, this.now);
 		}
 		return ready;
 	}
 
+	/**
+	 * A VM on which room may be kept, and when the next task would fit there.
+	 */
+	private static final class Candidate {
+
+		private final Room room;
+
+		private Resources kept = Resources.NONE;
+
+		private long readyAt;
+
+		private int placed;
+
+		Candidate(Room room, Resources needs, long now, int placed) {
+			this.room = room;
+			this.placed = placed;
+			this.readyAt = room.fitsAt(needs, this.kept, now);
+		}
+
+		void keepOneMore(Resources needs, long now) {
+			this.kept = this.kept.plus(needs);
+			this.placed++;
+			this.readyAt = this.room.fitsAt(needs, this.kept, now);
+		}
+
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/schedule/VictimPicker.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VictimPicker.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,8 @@
 
 	private final Predicate<JobState> mayStop;
 
+	private final Map<StepState, Double> gangCosts = new HashMap<>();
+
 	/**
 	 * A picker.
 	 * @param now the present time in ticks
@@ -48,36 +51,29 @@
 	}
 
 	private Plan plan(StepState step, List<TaskState> tasks, List<Room> group) {
-		Map<VmState, Resources> space = new HashMap<>();
-		Map<Room, Integer> taken = new HashMap<>();
-		group.forEach((room) -> space.put(room.vm, room.soon));
+		Map<String, Candidate> candidates = new LinkedHashMap<>();
+		for (Room room : group) {
+			candidates.put(room.vm.id(), new Candidate(room, Placer.placed(step, room)));
+		}
 		Set<TaskState> victims = new LinkedHashSet<>();
 		List<Room> rooms = new ArrayList<>();
 		double total = 0;
 		for (TaskState task : tasks) {
-			Room chosen = null;
-			List<TaskState> cheapest = List.of();
-			double least = Double.MAX_VALUE;
-			for (Room room : group) {
-				if (!Placer.allowed(step, task, room, taken.computeIfAbsent(room, (key) -> Placer.placed(step, key)))) {
-					continue;
-				}
-				List<TaskState> needed = evictions(room, step.spec.each(), space.get(room.vm), victims);
-				double cost = (needed != null) ? cost(needed, victims) : Double.MAX_VALUE;
-				if (cost < least) {
-					least = cost;
-					chosen = room;
-					cheapest = needed;
+			Candidate chosen = null;
+			for (Candidate candidate : candidates.values()) {
+				candidate.refresh(step.spec.each(), victims);
+				if (candidate.cost < ((chosen != null) ? chosen.cost : Double.MAX_VALUE)
+						&& Placer.allowed(step, task, candidate.room, candidate.placed)) {
+					chosen = candidate;
 				}
 			}
 			if (chosen == null) {
 				return Plan.NONE;
 			}
-			total += least;
-			cheapest.forEach((victim) -> evict(victim, victims, space));
-			space.computeIfPresent(chosen.vm, (key, free) -> free.minus(step.spec.each()));
-			taken.merge(chosen, 1, Integer::sum);
-			rooms.add(chosen);
+			total += chosen.cost;
+			chosen.evictions.forEach((victim) -> evict(victim, victims, candidates));
+			chosen.takeOne(step.spec.each());
+			rooms.add(chosen.room);
 		}
 		return new Plan(rooms, victims, total);
 	}
@@ -129,21 +125,64 @@
 		if (!task.step.spec.gang()) {
 			return task.unsavedWork(this.now);
 		}
-		return task.step.tasks.stream().mapToDouble((member) -> member.unsavedWork(this.now)).sum();
+		return this.gangCosts.computeIfAbsent(task.step,
+				(step) -> step.tasks.stream().mapToDouble((member) -> member.unsavedWork(this.now)).sum());
 	}
 
-	private static void evict(TaskState task, Set<TaskState> victims, Map<VmState, Resources> space) {
+	private static void evict(TaskState task, Set<TaskState> victims, Map<String, Candidate> candidates) {
 		List<TaskState> together = task.step.spec.gang() ? task.step.tasks : List.of(task);
 		for (TaskState member : together) {
-			if (member.phase.takesRoom() && member.phase != TaskPhase.STOPPING && victims.add(member)) {
-				space.entrySet()
-					.stream()
-					.filter((entry) -> entry.getKey().tasks.contains(member))
-					.forEach((entry) -> entry.setValue(entry.getValue().plus(member.needs())));
+			if (member.phase.takesRoom() && member.phase != TaskPhase.STOPPING && victims.add(member)
+					&& candidates.containsKey(member.vm)) {
+				candidates.get(member.vm).free(member.needs());
 			}
 		}
 	}
 
+	/**
+	 * A VM of a group, with what would have to be stopped so that one more task fits.
+	 */
+	private final class Candidate {
+
+		private final Room room;
+
+		private Resources space;
+
+		private int placed;
+
+		private boolean stale = true;
+
+		private List<TaskState> evictions = List.of();
+
+		private double cost;
+
+		Candidate(Room room, int placed) {
+			this.room = room;
+			this.space = room.soon;
+			this.placed = placed;
+		}
+
+		void refresh(Resources needs, Set<TaskState> victims) {
+			if (this.stale) {
+				this.stale = false;
+				this.evictions = evictions(this.room, needs, this.space, victims);
+				this.cost = (this.evictions != null) ? cost(this.evictions, victims) : Double.MAX_VALUE;
+			}
+		}
+
+		void free(Resources needs) {
+			this.space = this.space.plus(needs);
+			this.stale = true;
+		}
+
+		void takeOne(Resources needs) {
+			this.space = this.space.minus(needs);
+			this.placed++;
+			this.stale = true;
+		}
+
+	}
+
 	/**
 	 * What to stop and where the tasks go then.
 	 *
