Tell the coordinator of stored work, and let fast machines take office

A process that has stored a job or a cancellation now tells the coordinator, too; a lost notice does no harm. And a candidate with little processor waits up to 120 ms longer.

--- a/src/main/java/org/citronrelay/internal/cli/WarmUp.java
+++ b/src/main/java/org/citronrelay/internal/cli/WarmUp.java
@@ -32,7 +32,7 @@
 		List<Address> free = Stream.generate(FreeAddresses::next).limit(5).toList();
 		ClusterSettings settings = new ClusterSettings("warm-up", "none",
 				new ClusterSettings.Listen(free.get(0), free.get(1), free.get(2), free.get(3)), free.get(4), List.of(),
-				ClusterSettings.Coordination.DEFAULT, 0, 0,
+				1, ClusterSettings.Coordination.DEFAULT, 0, 0,
 				new LogSettings(LogSettings.Format.JSON, LogSettings.Level.INFO));
 		ClusterProcess process = new ClusterProcess(settings, new PlatformAdapter());
 		process.start();
--- a/src/main/java/org/citronrelay/internal/cluster/BatchDesk.java
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchDesk.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -46,14 +47,18 @@
 
 	private final LongSupplier heardAt;
 
+	private final BiConsumer<String, byte[]> notices;
+
 	/**
 	 * A desk over a store.
 	 * @param heardAt when the store last answered this process, in ticks
+	 * @param notices told of each record that was surely created, with its key
 	 */
-	public BatchDesk(ClusterStore store, Ticker ticker, LongSupplier heardAt) {
+	public BatchDesk(ClusterStore store, Ticker ticker, LongSupplier heardAt, BiConsumer<String, byte[]> notices) {
 		this.store = store;
 		this.ticker = ticker;
 		this.heardAt = heardAt;
+		this.notices = notices;
 	}
 
 	/**
@@ -135,7 +140,11 @@
 		Option<StoreFailure> open = Option.none();
 		while (true) {
 			Either<StoreFailure, Long> written = this.store.transact(create);
-			if (written.isRight() || written.getLeft() instanceof StoreFailure.Conflict) {
+			if (written.isRight()) {
+				this.notices.accept(key, value);
+				return new Created.Yes();
+			}
+			if (written.getLeft() instanceof StoreFailure.Conflict) {
 				return new Created.Yes();
 			}
 			if (written.getLeft() instanceof StoreFailure.Ambiguous) {
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -60,6 +60,8 @@
 
 	private final Election election;
 
+	private final WorkNotices notices;
+
 	private final ClusterAdapter adapter;
 
 	private HttpEndpoint callers;
@@ -82,8 +84,12 @@
 				settings.store(), this.members::others, this.ticker, this.metrics);
 		this.store = adapter.store(this.route);
 		this.catalogue = new CatalogueWatch(this.store, adapter.sources());
-		this.election = new Election(this.store, this.ticker, settings.process() + "/" + UUID.randomUUID(),
+		this.election = new Election(
+				this.store, this.ticker, new Election.Candidate(settings.process() + "/" + UUID.randomUUID(),
+						settings.listen().peers(), settings.cores()),
 				settings.coordination().termMs(), this::coordinate);
+		this.notices = new WorkNotices((to, call, timeoutMs) -> this.client.exchange(to, call, timeoutMs, false),
+				this.executor, this.coordinator, this.election::coordinator);
 	}
 
 	/**
@@ -92,8 +98,8 @@
 	public void start() {
 		this.balancer = HttpEndpoint.start(this.settings.listen().balancer(), HttpLimits.DEFAULT,
 				this.adapter.balancer(this::ready));
-		HttpHandler handler = this.adapter.callers(new BatchDesk(this.store, this.ticker, this.route::reachedAt),
-				this.catalogue::current);
+		BatchDesk desk = new BatchDesk(this.store, this.ticker, this.route::reachedAt, this.notices::stored);
+		HttpHandler handler = this.adapter.callers(desk, this.catalogue::current);
 		this.callers = HttpEndpoint.start(this.settings.listen().callers(), HttpLimits.DEFAULT,
 				(call) -> closeWhileLeaving(measured(handler, call)));
 		this.metrics.watch(this::figures, () -> this.catalogue.current().version());
@@ -178,9 +184,12 @@
 	}
 
 	/**
-	 * Passes a peer's call on to the store.
+	 * Passes a peer's call on to the store, or takes its notice in.
 	 */
 	private HttpReply peer(HttpCall call) {
+		if (call.path().startsWith(WorkNotices.PATH)) {
+			return this.notices.take(call);
+		}
 		if (!call.path().startsWith(StoreRoute.RELAY)) {
 			return Problem.of(404, "no-such-path", "There is nothing here.", "Check the path.").reply();
 		}
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
@@ -23,13 +23,15 @@
  * @param listen where it listens
  * @param store where the store is
  * @param seeds peers that may be asked before others are known
+ * @param cores how much processor the process has, in cores; the work of a coordinator
+ * goes to those with most
  * @param coordination the bounds of the coordinator
  * @param stopWithinMs how long a planned stop may take, in milliseconds
  * @param keepEndedMs how long ended jobs are known, in milliseconds
  * @param log how logs are written
  */
 public record ClusterSettings(String process, String failureDomain, Listen listen, Address store, List<Address> seeds,
-		Coordination coordination, long stopWithinMs, long keepEndedMs, LogSettings log) {
+		double cores, Coordination coordination, long stopWithinMs, long keepEndedMs, LogSettings log) {
 
 	private static final Address NOWHERE = new Address("0.0.0.0", 1);
 
@@ -66,9 +68,9 @@
 			.flatMap((text) -> Address.parse(text).toJavaStream())
 			.toList();
 		ClusterSettings settings = new ClusterSettings(cursor.text("process"), cursor.text("failureDomain"), addresses,
-				address(cursor, "store"), seeds, coordination(cursor.object("coordination")),
-				seconds(cursor, "stopWithinSeconds", 5), seconds(cursor, "keepEndedSeconds", 120),
-				LogSettings.read(cursor.object("log")));
+				address(cursor, "store"), seeds, cores(cursor.object("machine")),
+				coordination(cursor.object("coordination")), seconds(cursor, "stopWithinSeconds", 5),
+				seconds(cursor, "keepEndedSeconds", 120), LogSettings.read(cursor.object("log")));
 		cursor.end();
 		return settings;
 	}
@@ -86,6 +88,12 @@
 		return read;
 	}
 
+	private static double cores(JsonCursor cursor) {
+		double cores = cursor.number("cores", 0, 1_024, 1) * cursor.number("share", 0, 1, 1);
+		cursor.end();
+		return cores;
+	}
+
 	private static long seconds(JsonCursor cursor, String field, double fallback) {
 		return (long) (MILLIS * cursor.number(field, 0, 86_400, fallback));
 	}
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -361,7 +361,10 @@
 					.log("Ended jobs were not removed; tries again.")));
 	}
 
-	private void workWritten(KvEntry entry) {
+	/**
+	 * Takes in a record of work, from the watch or from the process that stored it.
+	 */
+	void workWritten(KvEntry entry) {
 		if (entry.key().startsWith(Keys.JOBS)) {
 			String id = entry.key().substring(Keys.JOBS.length());
 			tell(new JobStored(JobCodec.decode(id, entry.value())));
--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
@@ -37,7 +39,7 @@
 
 	private final Ticker ticker;
 
-	private final String identity;
+	private final Candidate self;
 
 	private final long termMs;
 
@@ -47,15 +49,16 @@
 
 	private volatile Term current;
 
+	private volatile Option<Address> coordinator = Option.none();
+
 	/**
 	 * An election for a process.
-	 * @param identity tells this start of this process from all others
 	 * @param office does the coordinator's work until the term is over
 	 */
-	Election(ClusterStore store, Ticker ticker, String identity, long termMs, Consumer<Term> office) {
+	Election(ClusterStore store, Ticker ticker, Candidate self, long termMs, Consumer<Term> office) {
 		this.store = store;
 		this.ticker = ticker;
-		this.identity = identity;
+		this.self = self;
 		this.termMs = termMs;
 		this.office = office;
 	}
@@ -68,15 +71,23 @@
 				Pause.millis(RETRY_MS);
 			}
 			else if (!read.get().entries().isEmpty()) {
+				this.coordinator = address(read.get().entries().getFirst().value());
 				awaitVacancy(read.get().revision());
 			}
 			else {
-				Pause.millis(ThreadLocalRandom.current().nextInt(SPREAD_MS));
+				Pause.millis(this.self.handicapMs() + ThreadLocalRandom.current().nextInt(SPREAD_MS));
 				campaign();
 			}
 		}
 	}
 
+	/**
+	 * Where the process in office is reached, as far as is known.
+	 */
+	Option<Address> coordinator() {
+		return this.coordinator;
+	}
+
 	/**
 	 * Gives up office and does not run again.
 	 */
@@ -107,7 +118,8 @@
 	private void campaign() {
 		long asked = this.ticker.millis();
 		this.store.grant(this.termMs).peek((lease) -> {
-			byte[] record = (this.identity + " " + lease).getBytes(StandardCharsets.UTF_8);
+			byte[] record = (this.self.peers() + " " + this.self.identity() + " " + lease)
+				.getBytes(StandardCharsets.UTF_8);
 			Either<StoreFailure, Long> won = this.store.transact(Transaction.create(Keys.COORDINATOR, record, lease));
 			long token = won.getOrElseGet((failure) -> ownToken(failure, record));
 			if (token > 0) {
@@ -134,6 +146,10 @@
 		return 0;
 	}
 
+	private static Option<Address> address(byte[] record) {
+		return Address.parse(new String(record, StandardCharsets.UTF_8).split(" ")[0]);
+	}
+
 	private void serve(Term term) {
 		this.current = term;
 		Part.HOLDER.logger().atInfo().addKeyValue("token", term.token()).log("Took office as coordinator.");
@@ -167,4 +183,28 @@
 		}
 	}
 
+	/**
+	 * A process that may take office.
+	 *
+	 * @param identity tells this start of this process from all others
+	 * @param peers where other processes reach it
+	 * @param cores how fast its machine is, in cores
+	 */
+	record Candidate(String identity, Address peers, double cores) {
+
+		/** How much later than others a machine of one core tries, in milliseconds. */
+		private static final double HANDICAP_MS = 40;
+
+		/** The longest handicap: a slow machine is better than none, in milliseconds. */
+		private static final double MOST_HANDICAP_MS = 120;
+
+		/**
+		 * How much later than others it tries, so that the work goes to a fast machine.
+		 */
+		long handicapMs() {
+			return (long) Math.min(MOST_HANDICAP_MS, HANDICAP_MS / Math.max(this.cores, Double.MIN_NORMAL));
+		}
+
+	}
+
 }
--- a/src/test/java/org/citronrelay/internal/cluster/BatchDeskTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/BatchDeskTests.java
@@ -1,5 +1,6 @@
 package org.citronrelay.internal.cluster;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.citronrelay.internal.batch.BatchJob;
@@ -21,6 +22,8 @@
 
 	private long heardAt;
 
+	private final List<String> notices = new ArrayList<>();
+
 	private final BatchDesk desk = desk(this.store);
 
 	@Test
@@ -29,6 +32,16 @@
 		assertThat(this.desk.phase("a").get().get()).isEqualTo(JobPhase.QUEUED);
 	}
 
+	@Test
+	void theCoordinatorIsToldOfEachRecordOnce() {
+		// when
+		this.desk.submit(job("a"));
+		this.desk.submit(job("a"));
+		this.desk.cancel("a");
+		// then
+		assertThat(this.notices).containsExactly(Keys.JOBS + "a", Keys.CANCELS + "a");
+	}
+
 	@Test
 	void theSameJobHandedInTwiceRemainsOneJob() {
 		// given
@@ -108,7 +121,7 @@
 	}
 
 	private BatchDesk desk(ClusterStore over) {
-		return new BatchDesk(over, () -> this.now += 10, () -> this.heardAt);
+		return new BatchDesk(over, () -> this.now += 10, () -> this.heardAt, (key, value) -> this.notices.add(key));
 	}
 
 	static BatchJob job(String id) {
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -5,14 +5,17 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.awaitility.Awaitility;
 import org.citronrelay.Findings;
 import org.citronrelay.internal.batch.QueueCatalogue;
 import org.citronrelay.internal.batch.VmReport;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
 import org.citronrelay.internal.http.Address;
+import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.JobPhase;
 import org.citronrelay.internal.schedule.StartAnswer;
@@ -33,7 +36,12 @@
 
 	private final MemoryStore store = new MemoryStore();
 
-	private final BatchDesk desk = new BatchDesk(this.store, () -> 0, () -> 0);
+	private final AtomicReference<Coordinator> office = new AtomicReference<>();
+
+	private final WorkNotices notices = new WorkNotices((to, call, timeoutMs) -> new Exchange.NotSent("no network"),
+			Runnable::run, this.office, Option::none);
+
+	private final BatchDesk desk = new BatchDesk(this.store, () -> 0, () -> 0, this.notices::stored);
 
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
@@ -60,6 +68,19 @@
 		assertThat(this.store.largestTransaction()).isLessThanOrEqualTo(ClusterStore.TRANSACTION_ENTRIES);
 	}
 
+	@Test
+	void workIsTakenInWhileTheWatchIsDeaf() {
+		// given
+		coordinate();
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> this.store.lists(Keys.WORK) > 0);
+		this.store.deaf(true);
+		// when
+		this.desk.submit(BatchDeskTests.job("a"));
+		this.desk.cancel("a");
+		// then
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> cancelled() == 1);
+	}
+
 	@Test
 	void aCoordinatorThatWasReplacedWritesNothingMore() {
 		// given
@@ -89,13 +110,14 @@
 		long token = this.store.transact(Transaction.create(Keys.COORDINATOR, new byte[0], "")).get();
 		this.term = new Term(token, "", Long.MAX_VALUE);
 		ClusterSettings settings = new ClusterSettings("test", "a",
-				new ClusterSettings.Listen(NOWHERE, NOWHERE, NOWHERE, NOWHERE), NOWHERE, List.of(),
+				new ClusterSettings.Listen(NOWHERE, NOWHERE, NOWHERE, NOWHERE), NOWHERE, List.of(), 1,
 				ClusterSettings.Coordination.DEFAULT, 1_000, 120_000,
 				new LogSettings(LogSettings.Format.TEXT, LogSettings.Level.ERROR));
 		CatalogueWatch catalogue = new CatalogueWatch(this.store, new NoSources());
 		Coordinator coordinator = new Coordinator(new Coordinator.Parts(settings, this.store, new NoSources(),
 				new NoOrders(), catalogue, this.executor, Ticker.system(), new ClusterMetrics()), this.term);
 		this.executor.execute(coordinator::run);
+		this.office.set(coordinator);
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/cluster/MemoryStore.java
+++ b/src/test/java/org/citronrelay/internal/cluster/MemoryStore.java
@@ -24,6 +24,10 @@
 
 	private boolean away;
 
+	private boolean deaf;
+
+	private final List<String> lists = new ArrayList<>();
+
 	private int answersToLose;
 
 	private int largestTransaction;
@@ -35,6 +39,20 @@
 		this.away = turnsAway;
 	}
 
+	/**
+	 * Lets watches hear of no change.
+	 */
+	synchronized void deaf(boolean hearsNothing) {
+		this.deaf = hearsNothing;
+	}
+
+	/**
+	 * How often a prefix was listed.
+	 */
+	synchronized long lists(String prefix) {
+		return this.lists.stream().filter(prefix::equals).count();
+	}
+
 	/**
 	 * Lets the next writes take effect without an answer.
 	 */
@@ -59,6 +77,7 @@
 		if (this.away) {
 			return gone();
 		}
+		this.lists.add(prefix);
 		return Either.right(
 				new KvSnapshot(this.items.values().stream().filter((entry) -> entry.key().startsWith(prefix)).toList(),
 						List.of(), this.revision));
@@ -66,6 +85,10 @@
 
 	@Override
 	public synchronized Either<StoreFailure, KvSnapshot> watch(String prefix, long afterRevision, long waitMs) {
+		if (this.deaf) {
+			pause(waitMs);
+			return Either.right(new KvSnapshot(List.of(), List.of(), this.revision));
+		}
 		return list(prefix).map((all) -> new KvSnapshot(
 				all.entries().stream().filter((entry) -> entry.revision() > afterRevision).toList(), List.of(),
 				this.revision));
@@ -125,6 +148,18 @@
 		return Either.right(this.leases.remove(lease) != null);
 	}
 
+	/**
+	 * Waits without keeping others from the store.
+	 */
+	private void pause(long millis) {
+		try {
+			wait(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private long revision(String key) {
 		KvEntry entry = this.items.get(key);
 		return (entry != null) ? entry.revision() : 0;
--- a/src/test/java/org/citronrelay/platform/PlatformCallersTests.java
+++ b/src/test/java/org/citronrelay/platform/PlatformCallersTests.java
@@ -29,8 +29,9 @@
 			List.of(new QueueCatalogue.Entry("h.example", "/q/", false, new Queue("q", "s", 0, 2, 1, 1))), Map.of(),
 			Map.of("good", "team"), 500);
 
-	private final PlatformCallers callers = new PlatformCallers(new BatchDesk(this.store, () -> 0, () -> 0),
-			() -> this.catalogue, () -> 42);
+	private final PlatformCallers callers = new PlatformCallers(
+			new BatchDesk(this.store, () -> 0, () -> 0, (key, value) -> {
+			}), () -> this.catalogue, () -> 42);
 
 	@Test
 	void aJobIsTakenInShownAndTakenBack() {
