Send each call with its own host and length, also one that is passed on

No trial showed the detour work, since its tests script the way to the store. A test on the wire fails without the change.

--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.StringJoiner;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -44,6 +46,10 @@
 
 	private static final long SURE_REUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/** What each connection says for itself, also for a call that is passed on. */
+	private static final Set<String> OF_THE_CONNECTION = Set.of("host", "content-length", "connection", "keep-alive",
+			"transfer-encoding");
+
 	private final TCPNIOTransport transport;
 
 	private final FilterChain chain;
@@ -184,7 +190,11 @@
 		if (!call.query().isEmpty()) {
 			builder.query(query(call.query()));
 		}
-		call.headers().forEach(builder::header);
+		call.headers().forEach((name, value) -> {
+			if (!OF_THE_CONNECTION.contains(name.toLowerCase(Locale.ROOT))) {
+				builder.header(name, value);
+			}
+		});
 		return HttpContent.builder(builder.build())
 			.content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, call.body()))
 			.last(true)
--- a/src/test/java/org/citronrelay/internal/http/HttpClientTests.java
+++ b/src/test/java/org/citronrelay/internal/http/HttpClientTests.java
@@ -6,8 +6,10 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -106,6 +108,38 @@
 				(answered) -> assertThat(new String(answered.reply().body())).isEqualTo("answer 2"));
 	}
 
+	@Test
+	void aCallWithTheHeadersOfAnotherNamesItsOwnHostAndLengthOnce() throws IOException {
+		// given a call as it was received, to be passed on
+		HttpCall received = HttpCall.of("POST", "/path")
+			.header("Host", "10.0.0.1:80")
+			.header("content-length", "99")
+			.header("Content-Type", "application/json")
+			.body(new byte[] { '{', '}' });
+		InetSocketAddress socket = this.address.socket();
+		try (ServerSocket server = new ServerSocket(socket.getPort(), 1, socket.getAddress())) {
+			// when
+			Thread caller = Thread.ofVirtual()
+				.start(() -> this.client.exchange(this.address, received, SILENCE_MS, false));
+			String sent;
+			try (Socket connection = server.accept()) {
+				byte[] bytes = new byte[2_000];
+				int length = 0;
+				while (!new String(bytes, 0, length, StandardCharsets.UTF_8).endsWith("{}")) {
+					length += connection.getInputStream().read(bytes, length, bytes.length - length);
+				}
+				sent = new String(bytes, 0, length, StandardCharsets.UTF_8).toLowerCase(Locale.ROOT);
+			}
+			caller.interrupt();
+			// then
+			assertThat(sent.split("host:")).hasSize(2);
+			assertThat(sent.split("content-length:")).hasSize(2);
+			assertThat(sent).contains("content-length: 2\r\n")
+				.contains("host: " + this.address)
+				.contains("content-type: application/json");
+		}
+	}
+
 	@Test
 	void aConnectionThatComesTooLateIsNotKeptOpen() throws IOException {
 		// given a server whose queue of new connections is full
