Start runs of a VM that left elsewhere at once

A run is now over when its VM's entry went within 1.5 heartbeats of the VM's last answer, sooner than that of a silent VM can lapse, and its address refuses connections or belongs to another. Neither alone is taken for proof. Two tests: the first fails without the change, the second guards a VM behind a cut that refuses connections.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -198,7 +198,7 @@
 			case CancelStored stored -> this.book.cancelled(stored.job(), now);
 			case JobRemoved removed -> this.book.forget(removed.job());
 			case VmSeen seen -> this.book.vmSeen(seen.report(), now);
-			case VmGone gone -> this.book.vmGone(gone.vm());
+			case VmGone gone -> this.book.vmGone(gone.vm(), now);
 			case CatalogueSeen seen -> this.book.catalogue(seen.catalogue());
 			case Renewed renewed -> renewed(renewed, now);
 			case StartAnswered answered -> startAnswered(answered, now);
@@ -209,13 +209,13 @@
 
 	private void renewed(Renewed renewed, Moment now) {
 		this.parts.metrics().renewed(renewed.answer().isRight());
-		renewed.answer().peek((answer) -> this.book.answered(renewed.vm(), answer, now)).peekLeft((reason) -> {
+		renewed.answer().peek((answer) -> this.book.answered(renewed.vm(), answer, now)).peekLeft((silence) -> {
 			Part.WORKER.logger()
 				.atWarn()
 				.addKeyValue("vm", renewed.vm())
-				.addKeyValue("reason", reason)
+				.addKeyValue("reason", silence.reason())
 				.log("A renewal was not answered.");
-			this.book.unanswered(renewed.vm(), now);
+			this.book.unanswered(renewed.vm(), silence.nobodyThere(), now);
 		});
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
+++ b/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
@@ -34,7 +34,7 @@
 	record CatalogueSeen(QueueCatalogue catalogue) implements CoordinatorEvent {
 	}
 
-	record Renewed(String vm, Either<String, VmAnswer> answer) implements CoordinatorEvent {
+	record Renewed(String vm, Either<Silence, VmAnswer> answer) implements CoordinatorEvent {
 	}
 
 	record StartAnswered(TaskId task, long run, StartAnswer answer) implements CoordinatorEvent {
--- a/src/main/java/org/citronrelay/internal/cluster/WorkerOrders.java
+++ b/src/main/java/org/citronrelay/internal/cluster/WorkerOrders.java
@@ -23,6 +23,6 @@
 	/**
 	 * Renews the lease of a VM; gives what it lists, or why there was no answer.
 	 */
-	Either<String, VmAnswer> renew(Effect.Renew order, long token);
+	Either<Silence, VmAnswer> renew(Effect.Renew order, long token);
 
 }
--- a/src/main/java/org/citronrelay/internal/http/Exchange.java
+++ b/src/main/java/org/citronrelay/internal/http/Exchange.java
@@ -24,13 +24,21 @@
 	 * No byte of the call left this process.
 	 *
 	 * @param reason why not
+	 * @param refused whether the machine answered that nobody listens there
 	 */
-	record NotSent(String reason) implements Exchange {
+	record NotSent(String reason, boolean refused) implements Exchange {
 
 		public NotSent {
 			Objects.requireNonNull(reason, "reason");
 		}
 
+		/**
+		 * A call that was not sent, for another reason than that nobody listens.
+		 */
+		public NotSent(String reason) {
+			this(reason, false);
+		}
+
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -93,7 +94,8 @@
 			connection = connection(address, sure, timeoutMs);
 		}
 		catch (IOException ex) {
-			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage());
+			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage(),
+					ex.getCause() instanceof ConnectException);
 		}
 		PendingAnswer pending = PendingAnswer.attach(connection);
 		connection.write(packet(address, call));
--- a/src/main/java/org/citronrelay/internal/schedule/Fleet.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Fleet.java
@@ -20,6 +20,9 @@
 	/** Where a VM stands of which only the name is known. */
 	private static final Address NOWHERE = new Address("0.0.0.0", 1);
 
+	/** How many heartbeats after a VM was heard its entry may go if it left by itself. */
+	private static final double HEARTBEATS_TO_LEAVE = 1.5;
+
 	/** How much longer a lease may last than its length, for a slow clock. */
 	private static final double SLOW_CLOCK = 1.05;
 
@@ -58,6 +61,7 @@
 		List<TaskState> lost = booted(vm, report.boot());
 		vm.report = report;
 		vm.registered = true;
+		vm.left = false;
 		return lost;
 	}
 
@@ -84,13 +88,29 @@
 		return vm.tasks.stream().filter((task) -> task.boot < boot).toList();
 	}
 
-	void gone(String id) {
+	/**
+	 * Takes in that a VM is not registered any more. The entry of a silent VM goes after
+	 * three heartbeats; one that goes within half of that after the VM was heard was
+	 * removed by the VM itself as it left.
+	 */
+	void gone(String id, Moment now) {
 		VmState vm = this.vms.get(id);
 		if (vm != null) {
 			vm.registered = false;
+			vm.left = vm.heardAt > 0 && now.ticks() - vm.heardAt <= HEARTBEATS_TO_LEAVE * this.timings.heartbeatMs();
 		}
 	}
 
+	/**
+	 * The runs that are surely over, since their VM left the register and nobody listens
+	 * at its address. Only both together are proof: a VM that is cut off may lose its
+	 * entry, and a connection across a cut may be refused, while its runs go on.
+	 */
+	List<TaskState> departed(String id, boolean nobodyThere) {
+		VmState vm = this.vms.get(id);
+		return (vm != null && nobodyThere && vm.left && !vm.registered) ? List.copyOf(vm.tasks) : List.of();
+	}
+
 	void unanswered(String id, Moment now) {
 		VmState vm = this.vms.get(id);
 		if (vm != null) {
--- a/src/main/java/org/citronrelay/internal/schedule/JobBook.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobBook.java
@@ -122,8 +122,8 @@
 	 * Takes in that a VM is no longer registered. What it runs is kept until its lease
 	 * has surely ended.
 	 */
-	public void vmGone(String vm) {
-		this.fleet.gone(vm);
+	public void vmGone(String vm, Moment now) {
+		this.fleet.gone(vm, now);
 	}
 
 	/**
@@ -144,9 +144,11 @@
 
 	/**
 	 * Takes in that a renewal was not answered.
+	 * @param nobodyThere whether the VM's machine said that the VM is not there
 	 */
-	public void unanswered(String vm, Moment now) {
+	public void unanswered(String vm, boolean nobodyThere, Moment now) {
 		this.fleet.unanswered(vm, now);
+		this.fleet.departed(vm, nobodyThere).forEach((task) -> this.lifecycle.lost(task, now, "the VM has left"));
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -56,6 +56,12 @@
 	/** Until when it gets no new tasks, in ticks. */
 	long benchedUntil;
 
+	/**
+	 * Whether the VM took itself off the register: its entry went sooner than that of a
+	 * silent VM would have lapsed.
+	 */
+	boolean left;
+
 	/** Whether the last renewal was not answered; its lease is then not extended. */
 	boolean silent;
 
--- a/src/main/java/org/citronrelay/platform/PlatformWorkers.java
+++ b/src/main/java/org/citronrelay/platform/PlatformWorkers.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Either;
 import org.citronrelay.internal.batch.TaskId;
 import org.citronrelay.internal.batch.VmReport;
+import org.citronrelay.internal.cluster.Silence;
 import org.citronrelay.internal.cluster.WorkerOrders;
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
@@ -33,6 +34,8 @@
 
 	private static final int CONFLICT = 409;
 
+	private static final int OTHER_INSTANCE = 421;
+
 	private static final int TOO_MANY = 429;
 
 	private static final int UNAVAILABLE = 503;
@@ -65,7 +68,7 @@
 	}
 
 	@Override
-	public Either<String, VmAnswer> renew(Effect.Renew order, long token) {
+	public Either<Silence, VmAnswer> renew(Effect.Renew order, long token) {
 		ObjectNode body = Json.object().put("fencingToken", token).put("lastSeen", order.acknowledge());
 		if (order.leaseUntil() > 0) {
 			body.put("deadlineMs", order.leaseUntil());
@@ -75,9 +78,10 @@
 		}
 		return switch (exchange(order.vm(), "/citronrelay/hold", body, order.waitMs() + TIMEOUT_MS)) {
 			case Exchange.Answered answered when answered.reply().status() == OK -> lists(answered.reply());
-			case Exchange.Answered answered -> Either.left("status " + answered.reply().status());
-			case Exchange.NotSent notSent -> Either.left(notSent.reason());
-			case Exchange.Broken broken -> Either.left(broken.reason());
+			case Exchange.Answered answered -> Either
+				.left(new Silence("status " + answered.reply().status(), answered.reply().status() == OTHER_INSTANCE));
+			case Exchange.NotSent notSent -> Either.left(new Silence(notSent.reason(), notSent.refused()));
+			case Exchange.Broken broken -> Either.left(new Silence(broken.reason(), false));
 		};
 	}
 
@@ -109,10 +113,10 @@
 		};
 	}
 
-	private static Either<String, VmAnswer> lists(HttpReply reply) {
+	private static Either<Silence, VmAnswer> lists(HttpReply reply) {
 		JsonNode root = reply.json();
 		if (!root.path("born").canConvertToLong() || !root.path("clockMs").canConvertToLong()) {
-			return Either.left("an answer without born or clockMs");
+			return Either.left(new Silence("an answer without born or clockMs", false));
 		}
 		List<VmAnswer.Running> running = new ArrayList<>();
 		for (JsonNode row : root.path("running")) {
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -163,8 +163,8 @@
 		}
 
 		@Override
-		public Either<String, VmAnswer> renew(Effect.Renew order, long token) {
-			return Either.left("there is no VM");
+		public Either<Silence, VmAnswer> renew(Effect.Renew order, long token) {
+			return Either.left(new Silence("there is no VM", false));
 		}
 
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
@@ -24,7 +24,7 @@
  */
 final class BookFixture {
 
-	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 5_000);
+	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 1_500, 5_000);
 
 	static final Resources CAPACITY = new Resources(128_000, 512_000, 8);
 
@@ -213,6 +213,9 @@
 
 		boolean cut;
 
+		/** Whether connections to its address are refused. */
+		boolean refusing;
+
 		boolean failing;
 
 		boolean hanging;
@@ -331,8 +334,8 @@
 		}
 
 		void renew(Effect.Renew order, long by) {
-			if (this.cut || by < this.highestToken) {
-				BookFixture.this.book.unanswered(this.id, moment());
+			if (this.cut || this.refusing || by < this.highestToken) {
+				BookFixture.this.book.unanswered(this.id, this.refusing, moment());
 				return;
 			}
 			this.highestToken = by;
@@ -349,7 +352,7 @@
 			}
 			this.ended.removeIf((end) -> end.number() <= order.acknowledge());
 			if (this.answersLost) {
-				BookFixture.this.book.unanswered(this.id, moment());
+				BookFixture.this.book.unanswered(this.id, false, moment());
 				return;
 			}
 			BookFixture.this.book.answered(this.id, answer(), moment());
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
@@ -107,7 +107,7 @@
 					fixture.book.cancelled(job, fixture.moment());
 				});
 			case 12 -> {
-				fixture.book.vmGone(vm.id);
+				fixture.book.vmGone(vm.id, fixture.moment());
 				if (random.nextBoolean()) {
 					fixture.book.vmSeen(vm.report(), fixture.moment());
 				}
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -289,7 +289,7 @@
 		this.fixture.vm("vm2", "r1");
 		// when
 		gone.cut = true;
-		this.fixture.book.vmGone("vm1");
+		this.fixture.book.vmGone("vm1", this.fixture.moment());
 		this.fixture.pass(8_000);
 		// then
 		assertThat(this.fixture.startsOf("job")).isEqualTo(1);
@@ -298,6 +298,41 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void whatRanOnAVmThatLeftStartsElsewhereAtOnce() {
+		// given
+		FakeVm leaving = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("job", "bulk", BookFixture.step(1, BookFixture.SMALL, 6_000));
+		this.fixture.pass(1_000);
+		this.fixture.vm("vm2", "r1");
+		this.fixture.pass(500);
+		// when
+		leaving.cut = true;
+		leaving.refusing = true;
+		leaving.running.clear();
+		this.fixture.book.vmGone("vm1", this.fixture.moment());
+		this.fixture.pass(1_000);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+	}
+
+	@Test
+	void aVmBehindACutThatRefusesConnectionsCountsAsRunningUntilItsLeaseEnds() {
+		// given
+		FakeVm hidden = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("job", "bulk", BookFixture.step(1, BookFixture.SMALL, 60_000));
+		this.fixture.pass(1_000);
+		this.fixture.vm("vm2", "r1");
+		// when its entry lapses after three heartbeats
+		hidden.cut = true;
+		hidden.refusing = true;
+		this.fixture.pass(4_500);
+		this.fixture.book.vmGone("vm1", this.fixture.moment());
+		this.fixture.pass(3_500);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(1);
+	}
+
 	@Test
 	void aGangOfWhichOneMembersVmWentAwayStartsAgainAsAWhole() {
 		// given
@@ -309,7 +344,7 @@
 		this.fixture.vm("vm3", "r1");
 		// when
 		gone.cut = true;
-		this.fixture.book.vmGone("vm1");
+		this.fixture.book.vmGone("vm1", this.fixture.moment());
 		this.fixture.vms.get("vm2").breakAll();
 		this.fixture.pass(25_000);
 		// then
