Stop a gang whose members cannot all begin before its VMs end it

The gang is now stopped as a whole after 0.6 of that time, which the settings name. A test fails without the change. The fake VM of the tests lets a waiting member stand still now, as real ones do.

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
@@ -83,6 +83,7 @@
 				cursor.longInteger("renewWaitMs", 0, 2_000, standard.renewWaitMs()),
 				cursor.longInteger("retryMs", 50, 10_000, standard.retryMs()),
 				cursor.longInteger("stallMs", 500, 600_000, standard.stallMs()),
+				cursor.longInteger("gangWaitMs", 100, 600_000, standard.gangWaitMs()),
 				cursor.longInteger("heartbeatMs", 100, 600_000, standard.heartbeatMs()),
 				cursor.longInteger("benchMs", 100, 600_000, standard.benchMs()));
 		cursor.end();
@@ -130,19 +131,20 @@
 	 * @param renewWaitMs how long a VM may wait for an end before it answers a renewal
 	 * @param retryMs how long until an unanswered order is given again
 	 * @param stallMs how long a task may stand still before it is moved
+	 * @param gangWaitMs how long VMs let a member of a gang wait for the others
 	 * @param heartbeatMs how often a VM renews its registration
 	 * @param benchMs how long a failing VM gets nothing new
 	 */
 	public record Coordination(long termMs, long leaseMs, long longestLeaseMs, long renewWaitMs, long retryMs,
-			long stallMs, long heartbeatMs, long benchMs) {
+			long stallMs, long gangWaitMs, long heartbeatMs, long benchMs) {
 
 		/** What holds where the settings name nothing. */
-		public static final Coordination DEFAULT = new Coordination(2_000, 10_000, 10_000, 1_500, 400, 3_500, 1_500,
-				5_000);
+		public static final Coordination DEFAULT = new Coordination(2_000, 10_000, 10_000, 1_500, 400, 3_500, 3_000,
+				1_500, 5_000);
 
 		ScheduleTimings timings() {
 			return new ScheduleTimings(this.leaseMs, this.longestLeaseMs, this.renewWaitMs, this.retryMs, this.stallMs,
-					this.heartbeatMs, this.benchMs);
+					this.gangWaitMs, this.heartbeatMs, this.benchMs);
 		}
 
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Lifecycle.java
@@ -10,6 +10,11 @@
 	/** How many runs in a row may fail on a VM before it is left alone for a while. */
 	private static final int FAILURES_TO_BENCH = 2;
 
+	/**
+	 * The share of the time that VMs let a member wait after which its gang is stopped.
+	 */
+	private static final double GANG_PATIENCE = 0.6;
+
 	private static final int WHOLE_PERCENT = 100;
 
 	private final Fleet fleet;
@@ -200,9 +205,24 @@
 				bench(vm, now);
 				stop(task);
 			}
+			else if (waitsForItsGang(task, now)) {
+				this.outbox.note(task.step.job.id(), "gang stopped", task.id() + " run " + task.run + " on " + vm.id()
+						+ " waits for members that have not begun for " + (now.ticks() - task.roseAt) + " ms");
+				task.step.tasks.forEach(this::stop);
+			}
 		}
 	}
 
+	/**
+	 * Whether a member of a gang has begun and others have not for so long that VMs would
+	 * soon end it by themselves.
+	 */
+	private boolean waitsForItsGang(TaskState task, Moment now) {
+		return task.step.spec.gang() && task.phase == TaskPhase.RUNNING
+				&& now.ticks() - task.roseAt > GANG_PATIENCE * this.timings.gangWaitMs()
+				&& task.step.tasks.stream().anyMatch((member) -> member.phase == TaskPhase.PLACED);
+	}
+
 	/**
 	 * Lets the members of a gang wait for VMs again once all of them have ended.
 	 */
--- a/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/BookFixture.java
@@ -24,7 +24,7 @@
  */
 final class BookFixture {
 
-	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 1_500, 5_000);
+	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_500, 5_000);
 
 	static final Resources CAPACITY = new Resources(128_000, 512_000, 8);
 
@@ -465,10 +465,19 @@
 			this.ended.add(new VmAnswer.Ended(++this.number, task, run.number(), how, ""));
 		}
 
+		/**
+		 * How far a run has come; a member of a gang that waits for others stands still.
+		 */
+		private int percent(TaskId task, Run run) {
+			boolean waits = run.step().gang() && membersOf(task, run).size() < run.step().count();
+			return (this.hanging || waits) ? 0
+					: (int) (100 * (BookFixture.this.now - run.since()) / Math.max(1, run.step().estimateMs()));
+		}
+
 		private VmAnswer answer() {
 			List<VmAnswer.Running> list = new ArrayList<>();
-			this.running.forEach((task, run) -> list.add(new VmAnswer.Running(task, run.number(), "", this.hanging ? 0
-					: (int) (100 * (BookFixture.this.now - run.since()) / Math.max(1, run.step().estimateMs())))));
+			this.running
+				.forEach((task, run) -> list.add(new VmAnswer.Running(task, run.number(), "", percent(task, run))));
 			return new VmAnswer(this.boot, BookFixture.this.now, list, this.ended);
 		}
 
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -298,6 +298,20 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void aGangOfWhichOneMemberCannotBeginIsStoppedBeforeTheOthersAreAloneTooLong() {
+		// given a VM that is cut off just before the gang starts
+		FakeVm first = this.fixture.vm("vm1", "r1");
+		FakeVm hidden = this.fixture.vm("vm2", "r1");
+		this.fixture.pass(300);
+		hidden.cut = true;
+		// when
+		this.fixture.submit("job", "normal", BookFixture.gang(2, new Resources(52_000, 210_000, 8), 1_000, false));
+		this.fixture.pass(2_500);
+		// then
+		assertThat(first.running).isEmpty();
+	}
+
 	@Test
 	void whatRanOnAVmThatLeftStartsElsewhereAtOnce() {
 		// given
