--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -7,8 +7,8 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
+import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -54,6 +54,9 @@
 
 	private volatile boolean lost;
 
+	/** The peer that last carried a call, null for none. */
+	private volatile Address lastServing;
+
 	StoreRoute(Line line, Address store, Supplier<List<Address>> peers, Ticker ticker, ClusterMetrics metrics) {
 		this.line = line;
 		this.store = store;
@@ -127,16 +130,20 @@
 		if (known.isEmpty()) {
 			return failed;
 		}
-		int first = ThreadLocalRandom.current().nextInt(known.size());
+		Address serving = this.lastServing;
+		int last = (serving != null) ? known.indexOf(serving) : -1;
+		int first = (last >= 0) ? last : ThreadLocalRandom.current().nextInt(known.size());
 		HttpCall wrapped = new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(), call.body());
 		long began = this.ticker.millis();
 		for (int asked = 0; asked < Math.min(PEERS_ASKED, known.size()); asked++) {
-			Exchange exchange = this.line.exchange(known.get((first + asked) % known.size()), wrapped,
-					timeoutMs + HOP_MS);
+			Address peer = known.get((first + asked) % known.size());
+			Exchange exchange = this.line.exchange(peer, wrapped, timeoutMs + HOP_MS);
 			this.metrics.stored("peer", outcome(exchange), this.ticker.millis() - began);
 			if (served(exchange)) {
+				this.lastServing = peer;
 				return exchange;
 			}
+			this.lastServing = null;
 			failed = (asked > 0) ? worse(failed, exchange) : exchange;
 			if (this.ticker.millis() - began > timeoutMs) {
 				break;
--- a/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.http.Exchange;
@@ -27,7 +29,12 @@
 
 	private final List<String> asked = new ArrayList<>();
 
+	private final Set<Address> peersAsked = new HashSet<>();
+
 	private final StoreRoute route = new StoreRoute((to, call, timeoutMs) -> {
+		if (!to.equals(STORE)) {
+			this.peersAsked.add(to);
+		}
 		this.asked.add((to.equals(STORE) ? "store " : "peer ") + call.path());
 		return this.script.pop();
 	}, STORE, () -> List.of(new Address("10.0.0.2", 2), new Address("10.0.0.3", 3)), () -> 0, new ClusterMetrics());
@@ -43,6 +50,21 @@
 		assertThat(this.asked).containsExactly("store /write", "peer /relay/write");
 	}
 
+	@Test
+	void aPeerThatCarriedACallIsAskedFirstForTheNext() {
+		// given
+		this.script.add(answered(503));
+		for (int call = 0; call < 20; call++) {
+			this.script.add(answered(200));
+		}
+		// when
+		for (int call = 0; call < 20; call++) {
+			this.route.exchange(CALL, 100);
+		}
+		// then
+		assertThat(this.peersAsked).hasSize(1);
+	}
+
 	@Test
 	void aCallThatOnePeerMayHaveCarriedIsNotCalledUnsent() {
 		// given
