Share the reading of addresses and settings checks; give a coordinator's housekeeping a class

Counts of waiting jobs were taken in each round and their failed write was not logged; ended jobs were removed at 2 a second at most, fewer than come in.

--- a/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/EntryCommands.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.citronrelay.Findings;
@@ -71,12 +72,9 @@
 
 	private int entry(CommandLine line) {
 		Either<Findings, EntrySettings> settings = EntrySettings.read(Path.of(line.getOptionValue(SETTINGS)));
-		if (settings.isLeft()) {
-			return wrongSettings(settings.getLeft());
-		}
-		if (line.hasOption(CHECK)) {
-			this.out.println("The settings are good.");
-			return 0;
+		Option<Integer> checked = checked(line, settings);
+		if (checked.isDefined()) {
+			return checked.get();
 		}
 		setUpLogs(settings.get().log());
 		return serve(settings.get());
@@ -88,12 +86,9 @@
 			throw new UsageException("there is no settings file.", "Give --settings FILE.");
 		}
 		Either<Findings, ClusterSettings> settings = ClusterSettings.read(Path.of(file));
-		if (settings.isLeft()) {
-			return wrongSettings(settings.getLeft());
-		}
-		if (line.hasOption(CHECK)) {
-			this.out.println("The settings are good.");
-			return 0;
+		Option<Integer> checked = checked(line, settings);
+		if (checked.isDefined()) {
+			return checked.get();
 		}
 		setUpLogs(settings.get().log());
 		ClusterProcess process = new ClusterProcess(settings.get(), new PlatformAdapter());
@@ -116,10 +111,22 @@
 				.log("The changed settings are wrong; those before stay in force."));
 	}
 
-	private int wrongSettings(Findings findings) {
-		this.err.println("The settings have " + findings.list().size() + " finding(s):");
-		this.err.println(findings.text());
-		return Program.WRONG_USE;
+	/**
+	 * The exit code where settings are wrong or were only to be checked, nothing where
+	 * the process is to run.
+	 */
+	private Option<Integer> checked(CommandLine line, Either<Findings, ?> settings) {
+		if (settings.isLeft()) {
+			Findings findings = settings.getLeft();
+			this.err.println("The settings have " + findings.list().size() + " finding(s):");
+			this.err.println(findings.text());
+			return Option.some(Program.WRONG_USE);
+		}
+		if (line.hasOption(CHECK)) {
+			this.out.println("The settings are good.");
+			return Option.some(0);
+		}
+		return Option.none();
 	}
 
 	private int serve(EntrySettings settings) {
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
@@ -13,6 +13,7 @@
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.json.JsonCursor;
 import org.citronrelay.internal.schedule.ScheduleTimings;
+import org.citronrelay.internal.settings.AddressSettings;
 import org.citronrelay.internal.settings.LogSettings;
 
 /**
@@ -33,8 +34,6 @@
 public record ClusterSettings(String process, String failureDomain, Listen listen, Address store, List<Address> seeds,
 		double cores, Coordination coordination, long stopWithinMs, long keepEndedMs, LogSettings log) {
 
-	private static final Address NOWHERE = new Address("0.0.0.0", 1);
-
 	private static final double MILLIS = 1_000;
 
 	public ClusterSettings {
@@ -60,15 +59,12 @@
 
 	private static ClusterSettings read(JsonCursor cursor) {
 		JsonCursor listen = cursor.object("listen");
-		Listen addresses = new Listen(address(listen, "callers"), address(listen, "balancer"), address(listen, "peers"),
-				address(listen, "metrics"));
+		Listen addresses = new Listen(AddressSettings.one(listen, "callers"), AddressSettings.one(listen, "balancer"),
+				AddressSettings.one(listen, "peers"), AddressSettings.one(listen, "metrics"));
 		listen.end();
-		List<Address> seeds = cursor.texts("seeds")
-			.stream()
-			.flatMap((text) -> Address.parse(text).toJavaStream())
-			.toList();
+		List<Address> seeds = AddressSettings.many(cursor, "seeds");
 		ClusterSettings settings = new ClusterSettings(cursor.text("process"), cursor.text("failureDomain"), addresses,
-				address(cursor, "store"), seeds, cores(cursor.object("machine")),
+				AddressSettings.one(cursor, "store"), seeds, cores(cursor.object("machine")),
 				coordination(cursor.object("coordination")), seconds(cursor, "stopWithinSeconds", 5),
 				seconds(cursor, "keepEndedSeconds", 120), LogSettings.read(cursor.object("log")));
 		cursor.end();
@@ -100,17 +96,6 @@
 		return (long) (MILLIS * cursor.number(field, 0, 86_400, fallback));
 	}
 
-	private static Address address(JsonCursor cursor, String field) {
-		String text = cursor.text(field);
-		return Address.parse(text).getOrElse(() -> {
-			if (!text.isEmpty()) {
-				cursor.collector()
-					.add(cursor.pointer(field), "\"" + text + "\"", "an IP number and port, as 10.0.0.1:8080");
-			}
-			return NOWHERE;
-		});
-	}
-
 	/**
 	 * Where a process listens.
 	 *
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.citronrelay.internal.batch.JobCodec;
 import org.citronrelay.internal.cluster.ClusterStore.Put;
@@ -26,7 +25,6 @@
 import org.citronrelay.internal.cluster.CoordinatorEvent.VmGone;
 import org.citronrelay.internal.cluster.CoordinatorEvent.VmSeen;
 import org.citronrelay.internal.cluster.CoordinatorEvent.Written;
-import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.schedule.Effect;
@@ -50,9 +48,6 @@
 	/** A decision's share of the coordinator's time is at most one in this many. */
 	private static final int DECISION_SHARE = 4;
 
-	/** How often the numbers of waiting jobs are published, in milliseconds. */
-	private static final long PUBLISH_MS = 500;
-
 	/** How many jobs fit into a transaction beside the check of the term. */
 	private static final int JOBS_A_WRITE = (ClusterStore.TRANSACTION_ENTRIES - 1) / 2;
 
@@ -65,12 +60,6 @@
 	/** How long reports of VMs gather, in milliseconds. */
 	private static final long REPORTS_MS = 250;
 
-	/** How often ended jobs are looked for, in milliseconds. */
-	private static final long SWEEP_MS = 5_000;
-
-	/** How many ended jobs are removed at a time; each has up to three keys. */
-	private static final int SWEPT_AT_ONCE = 10;
-
 	private final BlockingQueue<CoordinatorEvent> events = new LinkedBlockingQueue<>();
 
 	private final Parts parts;
@@ -83,19 +72,17 @@
 
 	private final DecisionPace pace;
 
-	private boolean writing;
-
-	private long publishAt;
+	private final Housekeeping housekeeping;
 
-	private long sweepAt;
-
-	private volatile Map<String, Integer> published = Map.of();
+	private boolean writing;
 
 	Coordinator(Parts parts, Term term) {
 		this.parts = parts;
 		this.term = term;
 		this.book = new JobBook(parts.settings().coordination().timings(), now());
 		this.figures = this.book.figures();
+		this.housekeeping = new Housekeeping(parts.store(), parts.executor(), term.token(),
+				parts.settings().keepEndedMs());
 		this.pace = new DecisionPace(parts.metrics(), parts.ticker().millis());
 	}
 
@@ -169,8 +156,7 @@
 		this.book.advance(now(), this.term.sure(began));
 		this.book.effects().forEach(this::carryOut);
 		write();
-		publish();
-		sweep();
+		this.figures = this.housekeeping.run(this.book, this.parts.ticker().millis());
 		this.pace.took(began, this.parts.ticker().millis());
 		Pause.millis(Math.max(GATHER_MS, (this.parts.ticker().millis() - began) * (DECISION_SHARE - 1)));
 	}
@@ -320,47 +306,6 @@
 		}
 	}
 
-	private void publish() {
-		long now = this.parts.ticker().millis();
-		Map<String, Integer> waiting = this.book.waiting();
-		this.figures = (now < this.publishAt) ? this.figures : this.book.figures();
-		if (now < this.publishAt || waiting.equals(this.published)) {
-			return;
-		}
-		this.publishAt = now + PUBLISH_MS;
-		this.published = waiting;
-		ObjectNode document = Json.object();
-		waiting.forEach(document::put);
-		Put put = new Put(Keys.WAITING, Json.bytes(document), "");
-		this.parts.executor()
-			.execute(() -> this.parts.store()
-				.transact(new Transaction(Map.of(Keys.COORDINATOR, this.term.token()), List.of(put), List.of()))
-				.peekLeft((failure) -> this.published = Map.of()));
-	}
-
-	private void sweep() {
-		long now = this.parts.ticker().millis();
-		if (now < this.sweepAt) {
-			return;
-		}
-		this.sweepAt = now + SWEEP_MS;
-		List<String> ended = this.book.endedBefore(now - this.parts.settings().keepEndedMs());
-		List<String> swept = ended.subList(0, Math.min(SWEPT_AT_ONCE, ended.size()));
-		if (swept.isEmpty()) {
-			return;
-		}
-		List<String> keys = swept.stream()
-			.flatMap((id) -> List.of(Keys.JOBS + id, Keys.CANCELS + id, Keys.PROGRESS + id).stream())
-			.toList();
-		this.parts.executor()
-			.execute(() -> this.parts.store()
-				.transact(new Transaction(Map.of(Keys.COORDINATOR, this.term.token()), List.of(), keys))
-				.peekLeft((failure) -> Part.PLATFORM.logger()
-					.atWarn()
-					.addKeyValue("reason", failure.phrase())
-					.log("Ended jobs were not removed; tries again.")));
-	}
-
 	/**
 	 * Takes in a record of work, from the watch or from the process that stored it.
 	 */
--- a/src/main/java/org/citronrelay/internal/settings/EntrySettings.java
+++ b/src/main/java/org/citronrelay/internal/settings/EntrySettings.java
@@ -40,8 +40,6 @@
 
 	private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
 
-	private static final Address NOWHERE = new Address("0.0.0.0", 1);
-
 	public EntrySettings {
 		Objects.requireNonNull(failureDomain, "failureDomain");
 		operatorTokenDigests = List.copyOf(operatorTokenDigests);
@@ -71,9 +69,9 @@
 	}
 
 	private static EntrySettings read(JsonCursor cursor) {
-		EntrySettings settings = new EntrySettings(cursor.name("failureDomain"), address(cursor, "http"),
-				address(cursor, "peers"), address(cursor, "keyValue"), address(cursor, "vmList"),
-				cursor.integer("platformTimeoutMs", 10, 60_000, 1_000),
+		EntrySettings settings = new EntrySettings(cursor.name("failureDomain"), AddressSettings.one(cursor, "http"),
+				AddressSettings.one(cursor, "peers"), AddressSettings.one(cursor, "keyValue"),
+				AddressSettings.one(cursor, "vmList"), cursor.integer("platformTimeoutMs", 10, 60_000, 1_000),
 				cursor.integer("workerTimeoutMs", 10, 60_000, 1_500), digests(cursor), limits(cursor.object("limits")),
 				cursor.integer("answerMemoryMb", 1, 4_096, 8) * 1024L * 1024,
 				cursor.integer("stopWithinMs", 100, 600_000, 30_000), timings(cursor.object("timings")),
@@ -82,17 +80,6 @@
 		return settings;
 	}
 
-	private static Address address(JsonCursor cursor, String field) {
-		String text = cursor.text(field);
-		return Address.parse(text).getOrElse(() -> {
-			if (!text.isEmpty()) {
-				cursor.collector()
-					.add(cursor.pointer(field), "\"" + text + "\"", "an IP number and port, as 10.0.0.1:8080");
-			}
-			return NOWHERE;
-		});
-	}
-
 	private static List<String> digests(JsonCursor cursor) {
 		List<String> digests = cursor.texts("operatorTokenDigests");
 		for (int index = 0; index < digests.size(); index++) {
--- a/src/main/java/org/citronrelay/platform/PlatformCallers.java
+++ b/src/main/java/org/citronrelay/platform/PlatformCallers.java
@@ -36,6 +36,9 @@
 	/** When to come back while there is no catalogue, in milliseconds. */
 	private static final long NO_CATALOGUE_MS = 1_000;
 
+	/** When to ask again for what the store could not tell, in milliseconds. */
+	private static final long ASK_AGAIN_MS = 1_000;
+
 	private static final long MILLIS = 1_000;
 
 	private final BatchDesk desk;
@@ -96,7 +99,7 @@
 			return methodNotAllowed();
 		}
 		return this.desk.waiting(route.queue().name())
-			.fold((reason) -> unavailable(reason, MILLIS),
+			.fold((reason) -> unavailable(reason, ASK_AGAIN_MS),
 					(count) -> HttpReply.json(OK, Json.object().put("pending", count)));
 	}
 
@@ -135,7 +138,7 @@
 	}
 
 	private static HttpReply known(Either<String, Option<JobPhase>> phase) {
-		return phase.fold((reason) -> unavailable(reason, MILLIS),
+		return phase.fold((reason) -> unavailable(reason, ASK_AGAIN_MS),
 				(found) -> found.map((state) -> HttpReply.json(OK, Json.object().put("state", word(state))))
 					.getOrElse(() -> Problem.of(410, "no-such-job", "There is no such job.", "Hand it in.").reply()));
 	}
