Spread a promised gang over racks where no rack can be cleared

Cause, found by reading: where no rack could hold a promised gang, others were stopped on VMs of several racks, but the gang was then placed in one rack only, so it never began and others were stopped again in each round. A test fails without the change.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacingRound.java
@@ -35,6 +35,8 @@
 
 	private static final Function<Room, Resources> NOW_FREE = (room) -> room.free;
 
+	private static final Function<Room, Resources> SOON_FREE = (room) -> room.soon;
+
 	private final Fleet fleet;
 
 	private final Lifecycle lifecycle;
@@ -75,22 +77,28 @@
 		List<TaskState> waiting = step.waiting();
 		waiting.forEach((task) -> round.placer().forgive(step, task));
 		List<TaskState> left = place(step, waiting, round.placer().place(step, waiting, NOW_FREE), round);
-		if (!left.isEmpty() && (urgency.useless() || waitsBesideFreeRoom(step, round))) {
+		boolean anywhere = takesAnyVms(urgency, round);
+		if (!left.isEmpty() && anywhere) {
 			left = place(step, left, round.placer().placeAnywhere(step, left, NOW_FREE), round);
 		}
 		if (left.isEmpty()) {
 			step.waitsSince = 0;
 		}
-		else if (!makeRoom(urgency, left, round)) {
+		else if (!makeRoom(urgency, left, anywhere, round)) {
 			round.keeper().keep(step, step.spec.gang() ? left : left.subList(0, 1), round.placer().groups(step));
 		}
 	}
 
 	/**
-	 * Whether work has waited for the best VMs long enough while most others are free.
+	 * Whether work runs on any VMs, though slower: it is of no use in any case, or it has
+	 * waited long enough for the best ones while it was promised room or most VMs are
+	 * free.
 	 */
-	private static boolean waitsBesideFreeRoom(StepState step, Round round) {
-		return round.now().ticks() - step.waitsSince >= CHOOSY_MS && round.placer().usage(step.job.pool) < MOSTLY_FREE;
+	private static boolean takesAnyVms(Urgency urgency, Round round) {
+		StepState step = urgency.step();
+		boolean patient = round.now().ticks() - step.waitsSince < CHOOSY_MS;
+		return urgency.useless()
+				|| (!patient && (urgency.promised() || round.placer().usage(step.job.pool) < MOSTLY_FREE));
 	}
 
 	/**
@@ -117,11 +125,15 @@
 	 * stops less urgent runs. What its team was promised it gets at any cost, also from
 	 * urgent work of teams beyond their promise; more than that only while it can meet
 	 * its objective, and only where it is worth what is lost.
+	 * @param anywhere whether VMs count on which it runs slower
 	 * @return whether it will have room
 	 */
-	private boolean makeRoom(Urgency urgency, List<TaskState> left, Round round) {
+	private boolean makeRoom(Urgency urgency, List<TaskState> left, boolean anywhere, Round round) {
 		StepState step = urgency.step();
-		List<Room> soon = round.placer().place(step, left, (room) -> room.soon);
+		List<Room> soon = round.placer().place(step, left, SOON_FREE);
+		if (soon.size() < left.size() && anywhere) {
+			soon = round.placer().placeAnywhere(step, left, SOON_FREE);
+		}
 		if (soon.size() == left.size()) {
 			soon.forEach((room) -> room.take(step.spec.each()));
 			return true;
@@ -133,7 +145,7 @@
 		VictimPicker picker = new VictimPicker(round.now().ticks(), (other) -> other.priority > step.job.priority
 				|| (promised && other != step.job && !round.guarantees().covers(other)));
 		VictimPicker.Plan plan = picker.plan(step, left, round.placer().groups(step));
-		if (plan.rooms().isEmpty() && promised) {
+		if (plan.rooms().isEmpty() && anywhere) {
 			plan = picker.plan(step, left, round.placer().anywhere());
 		}
 		double own = left.size() * step.spec.each().coreEquivalents() * step.spec.estimateMs() / MILLIS;
--- a/src/test/java/org/citronrelay/internal/schedule/WorstLoadTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/WorstLoadTests.java
@@ -90,6 +90,28 @@
 		assertThat(this.fixture.startsOf("promised")).isEqualTo(1);
 	}
 
+	@Test
+	void aPromisedGangIsSpreadOverRacksWhenNoRackCanBeCleared() {
+		// given promised work on one VM of each rack, and bulk work on the other
+		QueueCatalogue one = BookFixture.catalogue();
+		this.fixture.book.catalogue(new QueueCatalogue(2, one.entries(),
+				Map.of("team", new QueueCatalogue.Team("team", 32)), one.teamsByKey(), one.bodyBytes()));
+		this.fixture.vm("vm1", "r1");
+		this.fixture.vm("vm2", "r2");
+		this.fixture.submit("first", "urgent", BookFixture.step(2, WHOLE, 60_000));
+		this.fixture.pass(500);
+		FakeVm third = this.fixture.vm("vm3", "r1");
+		FakeVm fourth = this.fixture.vm("vm4", "r2");
+		this.fixture.submit("bulk", "bulk", BookFixture.step(16, BookFixture.SMALL, 60_000));
+		this.fixture.pass(500);
+		// when
+		this.fixture.submit("gang", "urgent", BookFixture.gang(2, WHOLE, 60_000, true));
+		this.fixture.pass(2_500);
+		// then
+		assertThat(this.fixture.startsOf("gang")).isEqualTo(2);
+		assertThat(stops(third) + stops(fourth)).isEqualTo(16);
+	}
+
 	@Test
 	void aGangIsSpreadOverRacksWhenNoRackIsFreeButMostVmsAre() {
 		// given one busy VM in each rack
