--- a/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
@@ -7,7 +7,6 @@
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.Step;
-import org.citronrelay.internal.schedule.BookFixture.FakeVm;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
--- a/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookTests.java
@@ -4,7 +4,6 @@
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.Step;
-import org.citronrelay.internal.schedule.BookFixture.FakeVm;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/src/test/java/org/citronrelay/internal/schedule/WorstLoadTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/WorstLoadTests.java
@@ -6,7 +6,6 @@
 import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.QueueCatalogue;
 import org.citronrelay.internal.batch.Resources;
-import org.citronrelay.internal.schedule.BookFixture.FakeVm;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
