--- a/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/JobBookFaultTests.java
@@ -25,6 +25,9 @@
 
 	private static final long ROUND_MS = 400;
 
+	/** How long after it was heard the entry of a silent VM lapses at the soonest. */
+	private static final long ENTRY_LAPSES_MS = 3_000;
+
 	/** Long enough for all leases to lapse and all work to be done again. */
 	private static final long QUIET_MS = 400_000;
 
@@ -66,6 +69,44 @@
 			.isIn(cancelled.contains(job) ? List.of("CANCELLED", "COMPLETED") : List.of("COMPLETED")));
 	}
 
+	/**
+	 * VMs that leave, and VMs that only seem to: behind a cut that refuses connections,
+	 * as their entries lapse.
+	 */
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void vmsThatLeaveOrHideMakeNoTaskRunTwice(long seed) {
+		// given
+		Random random = new Random(seed);
+		BookFixture fixture = new BookFixture();
+		for (int number = 0; number < VMS; number++) {
+			fixture.vm("vm" + number, "r" + number / 3);
+		}
+		// when
+		for (int round = 0; round < ROUNDS / 8; round++) {
+			submit(fixture, random, "job" + round);
+			fixture.pass(ROUND_MS + random.nextInt(2_000));
+			FakeVm vm = fixture.vms.get("vm" + random.nextInt(VMS));
+			boolean leaves = random.nextBoolean();
+			vm.cut = true;
+			vm.refusing = true;
+			if (leaves) {
+				vm.reboot();
+			}
+			fixture.pass(leaves ? random.nextInt(1_500) : ENTRY_LAPSES_MS + random.nextInt(2_000));
+			fixture.book.vmGone(vm.id, fixture.moment());
+			fixture.pass(random.nextInt(6_000));
+			vm.cut = false;
+			vm.refusing = false;
+			fixture.book.vmSeen(vm.report(), fixture.moment());
+		}
+		fixture.pass(QUIET_MS);
+		// then
+		assertThat(fixture.violations).isEmpty();
+		assertThat(fixture.jobs.keySet())
+			.allSatisfy((job) -> assertThat(fixture.phase(job)).as(job).isEqualTo("COMPLETED"));
+	}
+
 	private static void submit(BookFixture fixture, Random random, String id) {
 		Resources each = new Resources(11_000 + random.nextInt(40_000), 33_000 + random.nextInt(150_000),
 				1 << random.nextInt(4));
