Keep a malformed record or answer from ending a process's coordination

Cause: an unexpected error in a term ended the election thread, so the process was never a candidate again; the next coordinator read the same record and ended likewise, until the cluster had none. The same error ended the watch of a prefix, or left a renewal pending for ever, so that the VM's lease lapsed. One short job body could also order 100,000,000 tasks (10,000 tasks times 10,000 occurrences), which the coordinator and each successor keep in memory. Change: an error boundary around each record, call and round; a job whose progress cannot be read is left alone, as scheduling it from its beginning could run its tasks twice; a job has at most 20,000 tasks. The request path's HTTP endpoint already answers an unexpected error with 500.

--- a/src/main/java/org/citronrelay/internal/cluster/CatalogueWatch.java
+++ b/src/main/java/org/citronrelay/internal/cluster/CatalogueWatch.java
@@ -58,7 +58,8 @@
 
 	private void poll() {
 		do {
-			this.store.read(this.recordReader.catalogueKey()).peek((entry) -> entry.peek(this::apply));
+			ErrorBoundary.run("read the catalogue",
+					() -> this.store.read(this.recordReader.catalogueKey()).peek((entry) -> entry.peek(this::apply)));
 		}
 		while (Pause.millis((this.revision > 0) ? READ_INTERVAL_MS : RETRY_MS));
 	}
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -12,6 +14,7 @@
 import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
+import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.JobCodec;
 import org.citronrelay.internal.cluster.ClusterStore.Put;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
@@ -31,6 +34,7 @@
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAnswer;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
 
@@ -83,6 +87,9 @@
 
 	private final Housekeeping housekeeping;
 
+	/** The jobs whose stored progress cannot be read; they are not scheduled. */
+	private final Set<String> unreadableJobs = new HashSet<>();
+
 	private boolean writeInProgress;
 
 	Coordinator(Dependencies dependencies, Term term) {
@@ -109,7 +116,9 @@
 		Thread.ofVirtual().name("work-feed").start(() -> work.follow(() -> !this.term.ended()));
 		Thread.ofVirtual().name("vm-feed").start(() -> vms.follow(() -> !this.term.ended()));
 		while (!this.term.ended()) {
-			runRound();
+			if (!ErrorBoundary.run("decide a round", this::runRound)) {
+				this.term.end();
+			}
 		}
 	}
 
@@ -152,12 +161,24 @@
 
 	private boolean loadProgress() {
 		applyEvents(0);
-		return this.dependencies.store().list(StoreKeys.PROGRESS).peek((snapshot) -> {
-			for (KvEntry entry : snapshot.entries()) {
-				this.scheduler.restoreProgress(entry.key().substring(StoreKeys.PROGRESS.length()), entry.value(),
-						entry.revision(), now());
-			}
-		}).isRight();
+		return this.dependencies.store()
+			.list(StoreKeys.PROGRESS)
+			.peek((snapshot) -> snapshot.entries().forEach(this::restoreProgress))
+			.isRight();
+	}
+
+	/**
+	 * Restores the progress of one job. A job whose progress cannot be read is left
+	 * alone: if it were scheduled from its beginning, its tasks could run twice.
+	 */
+	private void restoreProgress(KvEntry entry) {
+		String job = entry.key().substring(StoreKeys.PROGRESS.length());
+		boolean restored = ErrorBoundary.run("read the progress of job " + job,
+				() -> this.scheduler.restoreProgress(job, entry.value(), entry.revision(), now()));
+		if (!restored) {
+			this.unreadableJobs.add(job);
+			this.scheduler.jobRemoved(job);
+		}
 	}
 
 	private void runRound() {
@@ -191,7 +212,7 @@
 	private void apply(CoordinatorEvent event) {
 		Moment now = now();
 		switch (event) {
-			case JobStored stored -> this.scheduler.jobAdded(stored.job(), now);
+			case JobStored stored -> jobStored(stored.job(), now);
 			case CancelStored stored -> this.scheduler.cancelRequested(stored.job(), now);
 			case JobRemoved removed -> this.scheduler.jobRemoved(removed.job());
 			case VmRegistered registered -> this.scheduler.vmRegistered(registered.registration(), now);
@@ -204,6 +225,12 @@
 		}
 	}
 
+	private void jobStored(BatchJob job, Moment now) {
+		if (!this.unreadableJobs.contains(job.id())) {
+			this.scheduler.jobAdded(job, now);
+		}
+	}
+
 	private void renewalEnded(RenewalEnded renewal, Moment now) {
 		this.dependencies.metrics().recordRenewal(renewal.answer().isRight());
 		renewal.answer()
@@ -232,17 +259,9 @@
 	private void execute(Effect effect) {
 		long token = this.term.token();
 		switch (effect) {
-			case Effect.Start start -> this.dependencies.executor()
-				.execute(() -> enqueue(new StartAnswered(start.task(), start.run(),
-						this.dependencies.workerClient().start(start, token))));
-			case Effect.Stop stop -> this.dependencies.executor().execute(() -> {
-				if (this.dependencies.workerClient().stop(stop, token)) {
-					enqueue(new StopAnswered(stop.task(), stop.run()));
-				}
-			});
-			case Effect.Renew renew -> this.dependencies.executor()
-				.execute(() -> enqueue(
-						new RenewalEnded(renew.vm().id(), this.dependencies.workerClient().renew(renew, token))));
+			case Effect.Start start -> this.dependencies.executor().execute(() -> start(start, token));
+			case Effect.Stop stop -> this.dependencies.executor().execute(() -> stop(stop, token));
+			case Effect.Renew renew -> this.dependencies.executor().execute(() -> renew(renew, token));
 			case Effect.Note note -> Part.JOB.logger()
 				.atInfo()
 				.addKeyValue("job", note.job())
@@ -252,6 +271,27 @@
 		}
 	}
 
+	private void start(Effect.Start start, long token) {
+		StartAnswer answer = ErrorBoundary.call("start " + start.task() + " on VM " + start.vm().id(),
+				() -> this.dependencies.workerClient().start(start, token), (error) -> StartAnswer.UNKNOWN);
+		enqueue(new StartAnswered(start.task(), start.run(), answer));
+	}
+
+	private void stop(Effect.Stop stop, long token) {
+		boolean confirmed = ErrorBoundary.call("stop " + stop.task() + " on VM " + stop.vm().id(),
+				() -> this.dependencies.workerClient().stop(stop, token), (error) -> false);
+		if (confirmed) {
+			enqueue(new StopAnswered(stop.task(), stop.run()));
+		}
+	}
+
+	private void renew(Effect.Renew renew, long token) {
+		Either<NoAnswer, VmAnswer> answer = ErrorBoundary.call("renew the lease of VM " + renew.vm().id(),
+				() -> this.dependencies.workerClient().renew(renew, token),
+				(error) -> Either.left(new NoAnswer("the answer could not be read: " + error, false)));
+		enqueue(new RenewalEnded(renew.vm().id(), answer));
+	}
+
 	private void write() {
 		if (this.writeInProgress) {
 			return;
@@ -268,8 +308,9 @@
 			.map((write) -> new Put(StoreKeys.PROGRESS + write.job(), write.document(), ""))
 			.toList();
 		this.dependencies.executor().execute(() -> {
-			Either<StoreFailure, Long> result = this.dependencies.store()
-				.transact(new Transaction(expected, puts, List.of()));
+			Either<StoreFailure, Long> result = ErrorBoundary.call("store the progress of jobs",
+					() -> this.dependencies.store().transact(new Transaction(expected, puts, List.of())),
+					(error) -> Either.left(new StoreFailure.Ambiguous("the answer could not be read: " + error)));
 			if (result.isLeft() && !(result.getLeft() instanceof StoreFailure.Conflict)) {
 				Part.PLATFORM.logger()
 					.atWarn()
@@ -332,7 +373,8 @@
 	void workWritten(KvEntry entry) {
 		if (entry.key().startsWith(StoreKeys.JOBS)) {
 			String id = entry.key().substring(StoreKeys.JOBS.length());
-			enqueue(new JobStored(JobCodec.decode(id, entry.value())));
+			ErrorBoundary.run("read the record of job " + id,
+					() -> enqueue(new JobStored(JobCodec.decode(id, entry.value()))));
 		}
 		else if (entry.key().startsWith(StoreKeys.CANCELS)) {
 			enqueue(new CancelStored(entry.key().substring(StoreKeys.CANCELS.length())));
--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -34,6 +34,12 @@
 	/** The pause after a failed call to the store, in milliseconds. */
 	private static final long RETRY_MS = 200;
 
+	/**
+	 * The pause after an unexpected error, in milliseconds: long enough for another
+	 * process to become coordinator.
+	 */
+	private static final long ERROR_PAUSE_MS = 1_000;
+
 	/**
 	 * Bound of the random delay that keeps candidates from colliding, in milliseconds.
 	 */
@@ -70,21 +76,27 @@
 	@Override
 	public void run() {
 		while (this.candidate) {
-			Either<StoreFailure, KvSnapshot> read = this.store.list(StoreKeys.COORDINATOR);
-			if (read.isLeft()) {
-				Pause.millis(RETRY_MS);
-			}
-			else if (!read.get().entries().isEmpty()) {
-				this.coordinatorAddress = address(read.get().entries().getFirst().value());
-				awaitKeyChange(read.get().revision());
-			}
-			else {
-				Pause.millis(this.self.candidacyDelayMs() + ThreadLocalRandom.current().nextInt(JITTER_MS));
-				campaign();
+			if (!ErrorBoundary.run("take part in the election", this::takePart)) {
+				Pause.millis(ERROR_PAUSE_MS);
 			}
 		}
 	}
 
+	private void takePart() {
+		Either<StoreFailure, KvSnapshot> read = this.store.list(StoreKeys.COORDINATOR);
+		if (read.isLeft()) {
+			Pause.millis(RETRY_MS);
+		}
+		else if (!read.get().entries().isEmpty()) {
+			this.coordinatorAddress = address(read.get().entries().getFirst().value());
+			awaitKeyChange(read.get().revision());
+		}
+		else {
+			Pause.millis(this.self.candidacyDelayMs() + ThreadLocalRandom.current().nextInt(JITTER_MS));
+			campaign();
+		}
+	}
+
 	/**
 	 * Returns the peer address in the coordinator key as it was last read, none before
 	 * that. The coordinator may have changed since.
@@ -179,21 +191,25 @@
 	private void renew(Term term) {
 		while (!term.ended() && Pause.millis(this.termMs / RENEWALS_PER_TERM)) {
 			long sentAt = this.ticker.millis();
-			this.store.renew(term.lease()).peek((alive) -> {
-				if (alive) {
-					term.renewedUntil(sentAt + this.termMs);
-				}
-				else {
-					Part.HOLDER.logger()
-						.atWarn()
-						.addKeyValue("token", term.token())
-						.log("The lease of the coordinator has expired; the term ends.");
-					term.end();
-				}
-			});
+			ErrorBoundary.run("renew the coordinator's lease", () -> renewOnce(term, sentAt));
 		}
 	}
 
+	private void renewOnce(Term term, long sentAt) {
+		this.store.renew(term.lease()).peek((alive) -> {
+			if (alive) {
+				term.renewedUntil(sentAt + this.termMs);
+			}
+			else {
+				Part.HOLDER.logger()
+					.atWarn()
+					.addKeyValue("token", term.token())
+					.log("The lease of the coordinator has expired; the term ends.");
+				term.end();
+			}
+		});
+	}
+
 	/**
 	 * A process that may become coordinator.
 	 *
--- a/src/main/java/org/citronrelay/internal/cluster/PeerRegistry.java
+++ b/src/main/java/org/citronrelay/internal/cluster/PeerRegistry.java
@@ -45,7 +45,7 @@
 	void start(ClusterStore store) {
 		Thread.ofVirtual().name("members").start(() -> {
 			do {
-				refresh(store);
+				ErrorBoundary.run("read the addresses of peers", () -> refresh(store));
 			}
 			while (Pause.millis(RENEW_INTERVAL_MS));
 		});
--- a/src/main/java/org/citronrelay/internal/cluster/PrefixWatcher.java
+++ b/src/main/java/org/citronrelay/internal/cluster/PrefixWatcher.java
@@ -92,7 +92,7 @@
 		Set<String> present = new HashSet<>();
 		snapshot.entries().forEach((entry) -> {
 			present.add(entry.key());
-			this.onWritten.accept(entry);
+			reportWritten(entry);
 		});
 		List<String> missing = this.knownKeys.stream().filter((key) -> !present.contains(key)).toList();
 		missing.forEach(this.onRemoved);
@@ -108,10 +108,18 @@
 		});
 		snapshot.entries().forEach((entry) -> {
 			this.knownKeys.add(entry.key());
-			this.onWritten.accept(entry);
+			reportWritten(entry);
 		});
 	}
 
+	/**
+	 * Reports an entry. One that the recipient cannot handle does not keep the others
+	 * from being reported.
+	 */
+	private void reportWritten(KvEntry entry) {
+		ErrorBoundary.run("apply the record " + entry.key(), () -> this.onWritten.accept(entry));
+	}
+
 	private void logFailure(StoreFailure failure) {
 		Part.PLATFORM.logger()
 			.atDebug()
--- a/src/main/java/org/citronrelay/platform/PlatformJobReader.java
+++ b/src/main/java/org/citronrelay/platform/PlatformJobReader.java
@@ -27,6 +27,12 @@
 	/** Maximum number of occurrences of a repeated job. */
 	private static final int MAX_OCCURRENCES = 10_000;
 
+	/**
+	 * The coordinator keeps each task of each occurrence in memory; without a limit one
+	 * short call could exhaust it, and that of each successor.
+	 */
+	private static final long MAX_TASKS_PER_JOB = 20_000;
+
 	private PlatformJobReader() {
 	}
 
@@ -49,6 +55,10 @@
 					? new BatchJob.Repeat(wholeNumber(root, "startAtMs", "", Long.MAX_VALUE, collector),
 							wholeNumber(root, "intervalMs", "", Long.MAX_VALUE, collector), repetitions)
 					: BatchJob.Repeat.ONCE;
+			long tasks = steps.stream().mapToLong(Step::count).sum() * repeat.occurrences();
+			if (tasks > MAX_TASKS_PER_JOB) {
+				collector.add("/phases", tasks + " tasks in all occurrences", "at most " + MAX_TASKS_PER_JOB);
+			}
 			return collector.toEither(new BatchJob(id, queue, team, spec, steps, repeat, nowMs));
 		});
 	}
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -1,17 +1,22 @@
 package org.citronrelay.internal.cluster;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.awaitility.Awaitility;
 import org.citronrelay.Findings;
+import org.citronrelay.internal.batch.JobCodec;
 import org.citronrelay.internal.batch.QueueCatalogue;
+import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.VmRegistration;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
 import org.citronrelay.internal.http.Address;
@@ -46,6 +51,8 @@
 
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
+	private WorkerClient workerClient = new NoWorkers();
+
 	private Term term;
 
 	@AfterEach
@@ -97,6 +104,59 @@
 		assertThat(this.store.read(StoreKeys.PROGRESS + "late").get()).isEmpty();
 	}
 
+	@Test
+	void recordsThatCannotBeReadDoNotStopTheCoordinator() {
+		// given a job and the progress of another, both of a later format
+		byte[] laterFormat = "{\"format\":99}".getBytes(StandardCharsets.UTF_8);
+		this.service.submit(BatchJobServiceTests.job("unreadable-progress"));
+		write(StoreKeys.JOBS + "unreadable", laterFormat);
+		write(StoreKeys.PROGRESS + "unreadable-progress", laterFormat);
+		// when
+		coordinate();
+		this.service.submit(BatchJobServiceTests.job("a"));
+		this.service.cancel("a");
+		// then the other jobs are handled, and the unreadable progress is left alone
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> phase("a") == JobPhase.CANCELLED);
+		assertThat(this.store.read(StoreKeys.PROGRESS + "unreadable-progress").get().get().value())
+			.isEqualTo(laterFormat);
+	}
+
+	@Test
+	void aRecordThatCannotBeReadDoesNotEndTheWatch() {
+		// given
+		coordinate();
+		// when
+		write(StoreKeys.JOBS + "unreadable", "{\"format\":99}".getBytes(StandardCharsets.UTF_8));
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> this.store.listCalls(StoreKeys.WORK) > 5);
+		this.store
+			.transact(Transaction.create(StoreKeys.JOBS + "a", JobCodec.encode(BatchJobServiceTests.job("a")), ""));
+		this.store.transact(Transaction.create(StoreKeys.CANCELS + "a", new byte[] { '1' }, ""));
+		// then
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> phase("a") == JobPhase.CANCELLED);
+	}
+
+	@Test
+	void aRenewalWhoseAnswerCannotBeReadIsRepeated() {
+		// given a VM, and a client that fails on every answer
+		AtomicInteger renewals = new AtomicInteger();
+		this.workerClient = new UnreadableAnswers(renewals);
+		coordinate();
+		// when
+		this.coordinator.get()
+			.enqueue(new CoordinatorEvent.VmRegistered(
+					new VmRegistration("vm", "pool", UNUSED_ADDRESS, "a", 1, false, Resources.NONE, "", Set.of())));
+		// then
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> renewals.get() > 2);
+	}
+
+	private void write(String key, byte[] value) {
+		this.store.transact(Transaction.create(key, value, ""));
+	}
+
+	private JobPhase phase(String job) {
+		return this.service.phase(job).get().getOrElse(JobPhase.QUEUED);
+	}
+
 	private long cancelled() {
 		return this.store.list(StoreKeys.PROGRESS)
 			.get()
@@ -117,8 +177,8 @@
 				new LogSettings(LogSettings.Format.TEXT, LogSettings.Level.ERROR));
 		CatalogueWatch catalogue = new CatalogueWatch(this.store, new EmptyRecordReader());
 		Coordinator coordinator = new Coordinator(
-				new Coordinator.Dependencies(settings, this.store, new EmptyRecordReader(), new NoWorkers(), catalogue,
-						this.executor, Ticker.system(), new ClusterMetrics()),
+				new Coordinator.Dependencies(settings, this.store, new EmptyRecordReader(), this.workerClient,
+						catalogue, this.executor, Ticker.system(), new ClusterMetrics()),
 				this.term);
 		this.executor.execute(coordinator::run);
 		this.coordinator.set(coordinator);
@@ -173,4 +233,27 @@
 
 	}
 
+	/**
+	 * A client that fails on each answer to a renewal.
+	 */
+	private record UnreadableAnswers(AtomicInteger renewals) implements WorkerClient {
+
+		@Override
+		public StartAnswer start(Effect.Start command, long token) {
+			return StartAnswer.UNKNOWN;
+		}
+
+		@Override
+		public boolean stop(Effect.Stop command, long token) {
+			return false;
+		}
+
+		@Override
+		public Either<NoAnswer, VmAnswer> renew(Effect.Renew command, long token) {
+			this.renewals.incrementAndGet();
+			throw new IllegalArgumentException("planted");
+		}
+
+	}
+
 }
--- a/src/test/java/org/citronrelay/platform/PlatformJobReaderTests.java
+++ b/src/test/java/org/citronrelay/platform/PlatformJobReaderTests.java
@@ -67,6 +67,13 @@
 		assertThat(read("{\"spec\":\"" + "x".repeat(4_001) + phases).isLeft()).isTrue();
 	}
 
+	@Test
+	void aJobWithMoreTasksThanACoordinatorCanKeepIsRefused() {
+		assertThat(read("{\"spec\":\"x\",\"repetitions\":2,\"phases\":[{\"count\":10000}]}").isRight()).isTrue();
+		assertThat(read("{\"spec\":\"x\",\"repetitions\":10000,\"phases\":[{\"count\":10000}]}").getLeft().text())
+			.contains("/phases");
+	}
+
 	private static Either<Findings, BatchJob> read(String body) {
 		return PlatformJobReader.read(body.getBytes(StandardCharsets.UTF_8), "id", "queue", "team", 7);
 	}
