Keep the capacity that preemption frees for the step that it was freed for

Change: an urgent step keeps its claim over the rounds (CapacityClaims); claims of steps that no guarantee covers bind only steps without a guarantee. Test: ClusterSchedulerOverloadTests, an urgent task every 100 ms while a gang waits for the VMs that are emptied for it; before: the gang preempts again, after: once.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -71,7 +71,24 @@
 		List<VmCapacity> vmCapacities = this.vms.availableCapacities(now);
 		Context context = new Context(now, TeamGuarantees.of(jobs, teams), new TaskPlacer(vmCapacities),
 				new BackfillReservations(vmCapacities.size(), now.monotonicMs()));
-		context.queueOrder().rank(due).forEach((urgency) -> placeStep(urgency, context));
+		placeInOrder(context.queueOrder().rank(due), new CapacityClaims(vmCapacities), context);
+	}
+
+	/**
+	 * Places the steps in their order. The claims of steps that no guarantee covers bind
+	 * only steps that no guarantee covers either.
+	 */
+	private void placeInOrder(List<Urgency> ranked, CapacityClaims claims, Context context) {
+		ranked.stream().filter(Urgency::guaranteed).map(Urgency::step).forEach(claims::hold);
+		boolean onlyGuaranteedClaims = true;
+		for (Urgency urgency : ranked) {
+			if (onlyGuaranteedClaims && !urgency.guaranteed()) {
+				onlyGuaranteedClaims = false;
+				ranked.stream().filter((other) -> !other.guaranteed()).map(Urgency::step).forEach(claims::hold);
+			}
+			claims.release(urgency.step());
+			placeStep(urgency, context);
+		}
 	}
 
 	/**
@@ -81,6 +98,7 @@
 	private void placeStep(Urgency urgency, Context context) {
 		StepState step = urgency.step();
 		step.waitingSince = (step.waitingSince > 0) ? step.waitingSince : context.now().monotonicMs();
+		step.claimedVms = List.of();
 		if (urgency.expired() && context.placer().usage(step.job.pool) > MAX_USAGE_FOR_EXPIRED) {
 			return;
 		}
@@ -150,7 +168,7 @@
 			freedSoon = context.placer().placeAnywhere(step, unplaced, FREE_SOON);
 		}
 		if (freedSoon.size() == unplaced.size()) {
-			freedSoon.forEach((vmCapacity) -> vmCapacity.allocate(step.spec.taskResources()));
+			claim(urgency, freedSoon);
 			return true;
 		}
 		boolean guaranteed = urgency.guaranteed();
@@ -172,10 +190,22 @@
 		this.outbox.note(step.job.id(), "Preempting runs for urgent work", plan.victims().size() + " runs, "
 				+ Math.round(plan.cost()) + " core-seconds of unsaved work, for " + unplaced.size() + " tasks");
 		plan.victims().forEach(this.lifecycle::stop);
-		plan.targets().forEach((vmCapacity) -> vmCapacity.allocate(step.spec.taskResources()));
+		claim(urgency, plan.targets());
 		return true;
 	}
 
+	/**
+	 * Takes the capacity that is being freed for a step. An urgent step keeps it in later
+	 * rounds, other steps leave it to work that becomes more urgent.
+	 */
+	private static void claim(Urgency urgency, List<VmCapacity> targets) {
+		StepState step = urgency.step();
+		targets.forEach((vmCapacity) -> vmCapacity.allocate(step.spec.taskResources()));
+		if (urgency.guaranteed() || (step.job.priority == 0 && !urgency.late())) {
+			step.claimedVms = targets.stream().map((vmCapacity) -> vmCapacity.vm.id()).toList();
+		}
+	}
+
 	private static Map<String, Integer> tasksByVm(List<VmCapacity> chosen) {
 		Map<String, Integer> counts = new HashMap<>();
 		chosen.forEach((vmCapacity) -> counts.merge(vmCapacity.vm.id(), 1, Integer::sum));
--- a/src/main/java/org/citronrelay/internal/schedule/StepState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/StepState.java
@@ -36,6 +36,12 @@
 	 */
 	long waitingSince;
 
+	/**
+	 * The ids of the VMs that are being emptied for waiting tasks of the step, one entry
+	 * a task; empty if the step has no claim to capacity.
+	 */
+	List<String> claimedVms = List.of();
+
 	StepState(JobState job, int occurrence, int number, Step spec) {
 		this.job = job;
 		this.occurrence = occurrence;
--- a/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
@@ -90,6 +90,11 @@
 		this.freeSoon = this.freeSoon.minus(needs);
 	}
 
+	void deallocate(Resources needs) {
+		this.free = this.free.plus(needs);
+		this.freeSoon = this.freeSoon.plus(needs);
+	}
+
 	/**
 	 * The expected end of a run.
 	 *
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
@@ -76,6 +76,26 @@
 		assertThat(this.fixture.phase("gang")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void anUrgentGangPreemptsOnceThoughSmallerUrgentJobsKeepArriving() {
+		// given VMs full of bulk work, which take some time to stop a run
+		for (int number = 0; number < 6; number++) {
+			this.fixture.vm("vm" + number, "r1").stopGraceMs = 900;
+			this.fixture.submit("bulk" + number, "bulk", SchedulerFixture.step(8, SchedulerFixture.SMALL, 60_000));
+		}
+		this.fixture.advanceTime(300);
+		// when a gang of two whole VMs arrives, then an urgent task every 100 ms
+		this.fixture.submit("gang", "urgent", SchedulerFixture.gang(2, WHOLE_VM, 6_000, true));
+		for (int number = 0; number < 9; number++) {
+			this.fixture.advanceTime(100);
+			this.fixture.submit("small" + number, "urgent", SchedulerFixture.step(1, SchedulerFixture.SMALL, 300));
+		}
+		this.fixture.advanceTime(500);
+		// then the gang has started on the two VMs that were emptied for it
+		assertThat(this.fixture.startsOf("gang")).isEqualTo(2);
+		assertThat(countPreemptionsFor("gang")).isEqualTo(1);
+	}
+
 	@Test
 	void aTeamWithinItsGuaranteePreemptsUrgentWorkOfATeamBeyondItsGuarantee() {
 		// given
@@ -155,6 +175,13 @@
 			.count();
 	}
 
+	private long countPreemptionsFor(String job) {
+		return this.fixture.effects.stream()
+			.filter((effect) -> effect instanceof Effect.Note note && note.job().equals(job)
+					&& note.decision().startsWith("Preempting"))
+			.count();
+	}
+
 	private void submitUrgent(String team, String id, long accelerators) {
 		BatchJob job = new BatchJob(id, "urgent", team, "payload",
 				List.of(SchedulerFixture.step(1, new Resources(10_000, 30_000, accelerators), 60_000)),
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -49,6 +49,12 @@
 	 */
 	long startDelayMs;
 
+	/** How long a stopped run goes on, in milliseconds. */
+	long stopGraceMs;
+
+	/** When runs that were told to stop will have stopped. */
+	private final Map<TaskId, Long> stopsAt = new HashMap<>();
+
 	private final Map<TaskId, Long> highestEndedRuns = new HashMap<>();
 
 	private final List<DelayedStart> delayedStarts = new ArrayList<>();
@@ -155,8 +161,9 @@
 		endDueRuns();
 		Run run = this.running.get(command.task());
 		if (run != null && run.number() == command.run()) {
-			end(command.task(), run, VmAnswer.EndReason.STOPPED);
+			this.stopsAt.putIfAbsent(command.task(), this.fixture.now + this.stopGraceMs);
 		}
+		endDueRuns();
 		this.highestEndedRuns.merge(command.task(), command.run(), Math::max);
 		this.fixture.scheduler.stopAnswered(command.task(), command.run(), this.fixture.moment());
 	}
@@ -195,6 +202,7 @@
 		this.running.clear();
 		this.ended.clear();
 		this.highestEndedRuns.clear();
+		this.stopsAt.clear();
 		this.delayedStarts.clear();
 		this.endedBeforeLapse.clear();
 		this.lastEndNumber = 0;
@@ -213,6 +221,9 @@
 			if (this.fixture.now > this.leaseUntil) {
 				end(task, run, VmAnswer.EndReason.LAPSED);
 			}
+			else if (this.stopsAt.getOrDefault(task, Long.MAX_VALUE) <= this.fixture.now) {
+				end(task, run, VmAnswer.EndReason.STOPPED);
+			}
 			else if (this.failing) {
 				end(task, run, VmAnswer.EndReason.FAILED);
 			}
@@ -289,6 +300,7 @@
 
 	private void close(TaskId task, Run run, VmAnswer.EndReason reason) {
 		this.running.remove(task);
+		this.stopsAt.remove(task);
 		this.highestEndedRuns.merge(task, run.number(), Math::max);
 		this.ended.add(new VmAnswer.Ended(++this.lastEndNumber, task, run.number(), reason, ""));
 	}
