Notice the store's return at once; tell isolation from an outage; a suspended coordinator holds no lease

Processes in the cut zone said ready for 4 s, so the balancer kept sending callers to them. Callers repeat a 503 after 0.05 to 1.1 s and a 504 at once, five tries within their 3 s: so what helps them is a short way back. Change: once a call has failed on every way, submissions are refused at once (nothing was sent, so the refusal is true), and every 150 ms the store is probed directly and through the next peer; the first answer ends the refusals. A process whose probes of peers mostly fail is isolated and not ready; if peers answer, the store is away for all and the process stays ready, so that callers get a Retry-After. A different job under a stored id is answered 409 instead of 200. Also: a term counts as held only if both clocks say so. The monotonic clock stands still while a machine is suspended, so a coordinator that woke up could extend leases past the time that its successor assumed. The test of refusals after two seconds is replaced by one that refuses as soon as no way works.

--- a/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -28,12 +28,6 @@
 	/** How long a refused caller waits before a retry, in milliseconds. */
 	private static final long RETRY_AFTER_MS = 1_000;
 
-	/**
-	 * How old the last answer of the store may be, in milliseconds. Callers are refused
-	 * without a call to the store if it is older.
-	 */
-	private static final long STORE_ANSWER_AGE_MS = 2_000;
-
 	/**
 	 * How long an unanswered write is repeated before its outcome is reported as unknown,
 	 * in milliseconds.
@@ -49,22 +43,21 @@
 
 	private final Ticker ticker;
 
-	private final LongSupplier storeAnsweredAt;
+	private final Supplier<StoreReachability> reachability;
 
 	private final BiConsumer<String, byte[]> onStored;
 
 	/**
 	 * Creates a service on a store.
-	 * @param storeAnsweredAt when the store last answered this process, in monotonic
-	 * milliseconds
+	 * @param reachability whether the store can be reached
 	 * @param onStored called with key and value of each record whose creation the store
 	 * confirmed
 	 */
-	public BatchJobService(ClusterStore store, Ticker ticker, LongSupplier storeAnsweredAt,
+	public BatchJobService(ClusterStore store, Ticker ticker, Supplier<StoreReachability> reachability,
 			BiConsumer<String, byte[]> onStored) {
 		this.store = store;
 		this.ticker = ticker;
-		this.storeAnsweredAt = storeAnsweredAt;
+		this.reachability = reachability;
 		this.onStored = onStored;
 	}
 
@@ -79,11 +72,23 @@
 		}
 		return switch (create(StoreKeys.JOBS + job.id(), JobCodec.encode(job))) {
 			case CreateResult.Stored _ -> new Submission.Accepted();
+			case CreateResult.Exists exists -> sameJob(job, exists.entry()) ? new Submission.Accepted()
+					: new Submission.IdTaken("another job is stored under the id " + job.id());
 			case CreateResult.NotStored notStored -> new Submission.Refused(notStored.reason(), RETRY_AFTER_MS);
 			case CreateResult.Unknown unknown -> new Submission.Unknown(unknown.reason());
 		};
 	}
 
+	/**
+	 * Whether a stored job is the submitted one, apart from the time of acceptance.
+	 */
+	private static boolean sameJob(BatchJob job, KvEntry entry) {
+		BatchJob stored = JobCodec.decode(job.id(), entry.value());
+		return new BatchJob(job.id(), job.queue(), job.team(), job.payload(), job.steps(), job.repeat(),
+				stored.acceptedAtMs())
+			.equals(stored);
+	}
+
 	/**
 	 * Stores the cancellation of a job, for the coordinator to carry out. A job that has
 	 * already ended keeps its phase.
@@ -96,7 +101,7 @@
 				return Either.right(phase);
 			}
 			return switch (create(StoreKeys.CANCELS + id, CANCEL_MARKER)) {
-				case CreateResult.Stored _ -> Either.right(Option.some(JobPhase.CANCELLED));
+				case CreateResult.Stored _, CreateResult.Exists _ -> Either.right(Option.some(JobPhase.CANCELLED));
 				case CreateResult.NotStored notStored -> Either.left(notStored.reason());
 				case CreateResult.Unknown unknown -> Either.left(unknown.reason());
 			};
@@ -137,13 +142,15 @@
 	}
 
 	/**
-	 * Returns why callers are refused without a call to the store, none if the store
-	 * answered recently. Background reads continue, so the end of an outage is noticed.
+	 * Returns why callers are refused without a call to the store, none if it can be
+	 * reached. Probes go on meanwhile, so the end of an outage is noticed.
 	 */
 	private Option<String> storeUnreachable(long now) {
-		long unansweredMs = now - this.storeAnsweredAt.getAsLong();
-		return (unansweredMs > STORE_ANSWER_AGE_MS)
-				? Option.some("the store has not answered for " + unansweredMs + " ms") : Option.none();
+		StoreReachability state = this.reachability.get();
+		return state.lost()
+				? Option.some(
+						"the store has not been reachable for " + (now - state.lostSince()) + " ms: " + state.reason())
+				: Option.none();
 	}
 
 	private CreateResult create(String key, byte[] value) {
@@ -156,8 +163,12 @@
 				this.onStored.accept(key, value);
 				return new CreateResult.Stored();
 			}
-			if (written.getLeft() instanceof StoreFailure.Conflict) {
-				return new CreateResult.Stored();
+			if (written.getLeft() instanceof StoreFailure.Conflict conflict) {
+				return conflict.current()
+					.stream()
+					.findFirst()
+					.<CreateResult>map(CreateResult.Exists::new)
+					.orElseGet(CreateResult.Stored::new);
 			}
 			if (written.getLeft() instanceof StoreFailure.Ambiguous) {
 				ambiguous = Option.some(written.getLeft());
@@ -179,6 +190,9 @@
 		record Stored() implements CreateResult {
 		}
 
+		record Exists(KvEntry entry) implements CreateResult {
+		}
+
 		record NotStored(String reason) implements CreateResult {
 		}
 
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterAdapter.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterAdapter.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 
 import org.citronrelay.internal.batch.QueueCatalogue;
+import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.http.HttpHandler;
 
@@ -18,6 +19,11 @@
 	 */
 	ClusterStore store(StoreRoute route);
 
+	/**
+	 * Returns the call that reads a key of the store.
+	 */
+	HttpCall storeRead(String key);
+
 	/**
 	 * Creates the reader of records that other systems write into the store.
 	 */
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -26,9 +26,6 @@
 	/** The largest answer that is read, in bytes; the store sends pages of 1 MB. */
 	private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
-	/** A process is ready if the store answered within this time, in milliseconds. */
-	private static final long READY_STORE_ANSWER_AGE_MS = 4_000;
-
 	/**
 	 * How long the balancer takes to notice that a process is not ready, in milliseconds.
 	 */
@@ -99,7 +96,7 @@
 	public void start() {
 		this.balancerEndpoint = HttpEndpoint.start(this.settings.listen().balancer(), HttpLimits.DEFAULT,
 				this.adapter.balancer(this::ready));
-		BatchJobService service = new BatchJobService(this.store, this.ticker, this.route::answeredAt,
+		BatchJobService service = new BatchJobService(this.store, this.ticker, this.route::reachability,
 				this.notifier::notifyStored);
 		HttpHandler handler = this.adapter.callers(service, this.catalogue::current);
 		this.callerEndpoint = HttpEndpoint.start(this.settings.listen().callers(), HttpLimits.DEFAULT,
@@ -117,6 +114,7 @@
 		});
 		this.catalogue.start();
 		this.peers.start(this.store);
+		new StoreProbe(this.route, this.adapter.storeRead(StoreKeys.COORDINATOR), this.executor).start();
 		Thread.ofPlatform().name("coordinator").daemon().start(this.election);
 		Part.ENTRY.logger()
 			.atInfo()
@@ -168,9 +166,12 @@
 		}
 	}
 
+	/**
+	 * Whether callers are served here as well as elsewhere. While the store is away for
+	 * everyone the process stays ready, so that callers are told when to come back.
+	 */
 	private boolean ready() {
-		return !this.draining && this.catalogue.current().version() > 0
-				&& this.ticker.millis() - this.route.answeredAt() < READY_STORE_ANSWER_AGE_MS;
+		return !this.draining && this.catalogue.current().version() > 0 && !this.route.reachability().isolated();
 	}
 
 	private ClusterScheduler.Statistics statistics() {
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -184,7 +184,8 @@
 	private void runRound() {
 		applyEvents(EVENT_WAIT_MS);
 		long began = this.dependencies.ticker().millis();
-		this.scheduler.advance(now(), this.term.holdsLease(began));
+		Moment now = now();
+		this.scheduler.advance(now, this.term.holdsLease(now));
 		this.scheduler.effects().forEach(this::execute);
 		write();
 		this.statistics = this.housekeeping.run(this.scheduler, this.dependencies.ticker().millis());
--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -12,6 +12,7 @@
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
+import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
 
@@ -134,7 +135,7 @@
 	}
 
 	private void campaign() {
-		long sentAt = this.ticker.millis();
+		Moment sentAt = now();
 		this.store.grant(this.termMs).peek((lease) -> {
 			byte[] record = (this.self.peerAddress() + " " + this.self.identity() + " " + lease)
 				.getBytes(StandardCharsets.UTF_8);
@@ -142,7 +143,7 @@
 				.transact(Transaction.create(StoreKeys.COORDINATOR, record, lease));
 			long token = created.getOrElseGet((failure) -> ownToken(failure, record));
 			if (token > 0) {
-				lead(new Term(token, lease, sentAt + this.termMs));
+				lead(new Term(token, lease, sentAt.plus(this.termMs)));
 			}
 			else {
 				this.store.revoke(lease);
@@ -188,17 +189,21 @@
 		}
 	}
 
+	private Moment now() {
+		return new Moment(this.ticker.millis(), System.currentTimeMillis());
+	}
+
 	private void renew(Term term) {
 		while (!term.ended() && Pause.millis(this.termMs / RENEWALS_PER_TERM)) {
-			long sentAt = this.ticker.millis();
+			Moment sentAt = now();
 			ErrorBoundary.run("renew the coordinator's lease", () -> renewOnce(term, sentAt));
 		}
 	}
 
-	private void renewOnce(Term term, long sentAt) {
+	private void renewOnce(Term term, Moment sentAt) {
 		this.store.renew(term.lease()).peek((alive) -> {
 			if (alive) {
-				term.renewedUntil(sentAt + this.termMs);
+				term.renewedUntil(sentAt.plus(this.termMs));
 			}
 			else {
 				Part.HOLDER.logger()
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreProbe.java
@@ -0,0 +1,62 @@
+package org.citronrelay.internal.cluster;
+
+import java.util.concurrent.Executor;
+
+import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.time.Pause;
+
+/**
+ * Looks for a way to the store while the direct one fails, so that callers are served as
+ * soon as one works again. Sends nothing while the direct way works.
+ */
+final class StoreProbe {
+
+	/** The time between two probes of each way, in milliseconds. */
+	private static final long INTERVAL_MS = 150;
+
+	/**
+	 * The time limit of a direct probe, in milliseconds. A probe does not delay the next.
+	 */
+	private static final long DIRECT_TIMEOUT_MS = 600;
+
+	/**
+	 * The time limit of a probe through a peer, in milliseconds: the peer's own limit and
+	 * the way there.
+	 */
+	private static final long PEER_TIMEOUT_MS = 900;
+
+	private final StoreRoute route;
+
+	private final HttpCall read;
+
+	private final Executor executor;
+
+	/**
+	 * Creates the probe of a process.
+	 * @param read a cheap read
+	 */
+	StoreProbe(StoreRoute route, HttpCall read, Executor executor) {
+		this.route = route;
+		this.read = read;
+		this.executor = executor;
+	}
+
+	void start() {
+		Thread.ofVirtual().name("store-probe").start(() -> {
+			while (Pause.millis(INTERVAL_MS)) {
+				ErrorBoundary.run("probe the store", this::probe);
+			}
+		});
+	}
+
+	private void probe() {
+		boolean lost = this.route.reachability().lost();
+		if (lost || this.route.directWayAvoided()) {
+			this.executor.execute(() -> this.route.probeDirectly(this.read, DIRECT_TIMEOUT_MS));
+		}
+		if (lost) {
+			this.executor.execute(() -> this.route.probePeer(this.read, PEER_TIMEOUT_MS));
+		}
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import org.citronrelay.internal.http.Address;
@@ -56,9 +58,9 @@
 
 	private volatile long retryDirectAt = Long.MIN_VALUE;
 
-	private volatile long answeredAt;
+	private final AtomicReference<StoreReachability> reachability = new AtomicReference<>(StoreReachability.REACHABLE);
 
-	private volatile boolean connectionLost;
+	private final AtomicInteger probes = new AtomicInteger();
 
 	/** The peer that last relayed a call, null for none. */
 	private volatile Address lastRelayingPeer;
@@ -70,7 +72,6 @@
 		this.peers = peers;
 		this.ticker = ticker;
 		this.metrics = metrics;
-		this.answeredAt = ticker.millis();
 	}
 
 	/**
@@ -96,14 +97,16 @@
 			recordAnswer("through a peer");
 			return relayed;
 		}
-		if (!this.connectionLost) {
-			this.connectionLost = true;
+		Exchange lessCertain = lessCertain(direct, relayed);
+		StoreReachability before = this.reachability
+			.getAndUpdate((state) -> state.failed(reason(lessCertain), this.ticker.millis()));
+		if (!before.lost()) {
 			Part.PLATFORM.logger()
 				.atWarn()
 				.addKeyValue("directFailure", reason(direct))
 				.log("Lost the connection to the store, directly and through peers; calls to it fail until it answers.");
 		}
-		return lessCertain(direct, relayed);
+		return lessCertain;
 	}
 
 	/**
@@ -117,11 +120,49 @@
 	}
 
 	/**
-	 * Returns when the store last answered, directly or through a peer, in monotonic
-	 * milliseconds.
+	 * Returns whether the store can be reached, as the latest calls and probes tell.
 	 */
-	long answeredAt() {
-		return this.answeredAt;
+	StoreReachability reachability() {
+		return this.reachability.get();
+	}
+
+	/**
+	 * Whether calls skip the direct way for now, because it failed recently.
+	 */
+	boolean directWayAvoided() {
+		return this.ticker.millis() < this.retryDirectAt;
+	}
+
+	/**
+	 * Tries the direct way with a read, so that its return is noticed before a caller
+	 * needs it.
+	 */
+	void probeDirectly(HttpCall read, long timeoutMs) {
+		if (isStoreAnswer(exchangeDirectly(read, timeoutMs))) {
+			this.retryDirectAt = Long.MIN_VALUE;
+			recordAnswer("directly");
+		}
+	}
+
+	/**
+	 * Sends a read through one peer, the next one each time.
+	 */
+	void probePeer(HttpCall read, long timeoutMs) {
+		List<Address> known = this.peers.get();
+		if (known.isEmpty()) {
+			return;
+		}
+		Address peer = known.get(Math.floorMod(this.probes.getAndIncrement(), known.size()));
+		HttpCall relayCall = new HttpCall(read.method(), RELAY + read.path(), read.query(), read.headers(),
+				read.body());
+		Exchange exchange = this.transport.exchange(peer, relayCall, timeoutMs);
+		if (isStoreAnswer(exchange)) {
+			this.lastRelayingPeer = peer;
+			recordAnswer("through a peer");
+		}
+		else {
+			this.reachability.updateAndGet((state) -> state.peerProbed(exchange instanceof Exchange.Answered));
+		}
 	}
 
 	/**
@@ -169,9 +210,7 @@
 	}
 
 	private void recordAnswer(String way) {
-		this.answeredAt = this.ticker.millis();
-		if (this.connectionLost) {
-			this.connectionLost = false;
+		if (this.reachability.getAndSet(StoreReachability.REACHABLE).lost()) {
 			Part.PLATFORM.logger().atInfo().addKeyValue("route", way).log("The store answers again.");
 		}
 	}
--- a/src/main/java/org/citronrelay/internal/cluster/Submission.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Submission.java
@@ -12,7 +12,8 @@
 	}
 
 	/**
-	 * The job is not stored and will not run.
+	 * This submission stored nothing, and will not. An earlier one with the same id may
+	 * have been accepted.
 	 *
 	 * @param reason why it was refused
 	 * @param retryAfterMs how long to wait before submitting it again, in milliseconds
@@ -20,6 +21,14 @@
 	record Refused(String reason, long retryAfterMs) implements Submission {
 	}
 
+	/**
+	 * A different job is stored under the id; this one will not run.
+	 *
+	 * @param reason what is stored
+	 */
+	record IdTaken(String reason) implements Submission {
+	}
+
 	/**
 	 * The job may be stored. Submitting it again with the same id is safe and settles it.
 	 *
--- a/src/main/java/org/citronrelay/internal/cluster/Term.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Term.java
@@ -1,5 +1,7 @@
 package org.citronrelay.internal.cluster;
 
+import org.citronrelay.internal.schedule.Moment;
+
 /**
  * One term of a coordinator, from its election until its lease ends.
  */
@@ -9,16 +11,15 @@
 
 	private final String lease;
 
-	private volatile long heldUntil;
+	private volatile Moment heldUntil;
 
 	private volatile boolean ended;
 
 	/**
 	 * Creates a term.
-	 * @param heldUntil the time until which the lease is confirmed to be held, in
-	 * monotonic milliseconds
+	 * @param heldUntil the time until which the lease is confirmed to be held
 	 */
-	Term(long token, String lease, long heldUntil) {
+	Term(long token, String lease, Moment heldUntil) {
 		this.token = token;
 		this.lease = lease;
 		this.heldUntil = heldUntil;
@@ -38,14 +39,16 @@
 
 	/**
 	 * Whether the lease is confirmed to be held, so that no other process can be
-	 * coordinator.
-	 * @param now the present time, in monotonic milliseconds
+	 * coordinator. The wall clock must agree, since the monotonic clock stands still
+	 * while the machine is suspended; if the wall clock was set forward, the next renewal
+	 * confirms the lease again.
 	 */
-	boolean holdsLease(long now) {
-		return !this.ended && now < this.heldUntil;
+	boolean holdsLease(Moment now) {
+		Moment until = this.heldUntil;
+		return !this.ended && now.monotonicMs() < until.monotonicMs() && now.wallMs() < until.wallMs();
 	}
 
-	void renewedUntil(long until) {
+	void renewedUntil(Moment until) {
 		this.heldUntil = until;
 	}
 
--- a/src/main/java/org/citronrelay/platform/PlatformAdapter.java
+++ b/src/main/java/org/citronrelay/platform/PlatformAdapter.java
@@ -10,6 +10,7 @@
 import org.citronrelay.internal.cluster.ExternalRecordReader;
 import org.citronrelay.internal.cluster.StoreRoute;
 import org.citronrelay.internal.cluster.WorkerClient;
+import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.http.HttpHandler;
 import org.citronrelay.internal.http.HttpReply;
@@ -33,6 +34,11 @@
 		return new PlatformStore(route);
 	}
 
+	@Override
+	public HttpCall storeRead(String key) {
+		return PlatformStore.readOf(key);
+	}
+
 	@Override
 	public ExternalRecordReader recordReader() {
 		return new PlatformRecordReader();
--- a/src/main/java/org/citronrelay/platform/PlatformJobApi.java
+++ b/src/main/java/org/citronrelay/platform/PlatformJobApi.java
@@ -65,13 +65,13 @@
 			.addKeyValue("catalogue", current.version())
 			.addKeyValue("status", reply.status())
 			.addKeyValue("reason", (reply.status() != OK) ? reply.json().path("title").asText() : "")
-			.log("Answered a call of a requester.");
+			.log("Answered a call.");
 		return reply;
 	}
 
 	private HttpReply answer(HttpCall call, QueueCatalogue current) {
 		if (current.version() == 0) {
-			return unavailable("this process has no catalogue yet", NO_CATALOGUE_RETRY_MS);
+			return unavailable("This process has read no catalogue yet.", NO_CATALOGUE_RETRY_MS);
 		}
 		String host = call.header("Host").getOrElse("").toLowerCase(Locale.ROOT).replaceFirst(":[0-9]+$", "");
 		Option<QueueCatalogue.Route> route = current.route(host, call.path());
@@ -99,7 +99,7 @@
 			return methodNotAllowed();
 		}
 		return this.jobs.queuedJobs(route.queue().name())
-			.fold((reason) -> unavailable(reason, STORE_RETRY_MS),
+			.fold((reason) -> unavailable("The number of waiting jobs cannot be read: " + reason, STORE_RETRY_MS),
 					(count) -> HttpReply.json(OK, Json.object().put("pending", count)));
 	}
 
@@ -109,8 +109,8 @@
 		}
 		return switch (call.method()) {
 			case "POST" -> submit(call, route, team, id, current);
-			case "GET" -> phaseReply(this.jobs.phase(id));
-			case "DELETE" -> phaseReply(this.jobs.cancel(id));
+			case "GET" -> phaseReply("The state of the job cannot be read: ", this.jobs.phase(id));
+			case "DELETE" -> phaseReply("The cancellation is not confirmed: ", this.jobs.cancel(id));
 			default -> methodNotAllowed();
 		};
 	}
@@ -130,7 +130,10 @@
 		}
 		return switch (this.jobs.submit(job.get())) {
 			case Submission.Accepted _ -> HttpReply.json(OK, Json.object());
-			case Submission.Refused refused -> unavailable(refused.reason(), refused.retryAfterMs());
+			case Submission.Refused refused ->
+				unavailable("This call stored no job: " + refused.reason(), refused.retryAfterMs());
+			case Submission.IdTaken taken ->
+				Problem.of(409, "id-taken", taken.reason(), "Choose another id, or look up the stored job.").reply();
 			case Submission.Unknown unknown ->
 				Problem
 					.of(504, "outcome-unknown", "The job may have been stored: " + unknown.reason(),
@@ -139,8 +142,8 @@
 		};
 	}
 
-	private static HttpReply phaseReply(Either<String, Option<JobPhase>> phase) {
-		return phase.fold((reason) -> unavailable(reason, STORE_RETRY_MS),
+	private static HttpReply phaseReply(String failed, Either<String, Option<JobPhase>> phase) {
+		return phase.fold((reason) -> unavailable(failed + reason, STORE_RETRY_MS),
 				(found) -> found.map((state) -> HttpReply.json(OK, Json.object().put("state", stateText(state))))
 					.getOrElse(() -> Problem
 						.of(410, "no-such-job", "There is no such job.", "Check the id, or submit the job.")
@@ -159,9 +162,7 @@
 
 	private static HttpReply unavailable(String reason, long retryAfterMs) {
 		long seconds = Math.max(1, (retryAfterMs + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
-		return Problem
-			.of(UNAVAILABLE, "unavailable", "Not accepted, and it will not run: " + reason,
-					"Send the call again after the time in Retry-After.")
+		return Problem.of(UNAVAILABLE, "unavailable", reason, "Send the call again after the time in Retry-After.")
 			.reply()
 			.header("Retry-After", Long.toString(seconds));
 	}
--- a/src/main/java/org/citronrelay/platform/PlatformStore.java
+++ b/src/main/java/org/citronrelay/platform/PlatformStore.java
@@ -47,12 +47,11 @@
 
 	@Override
 	public Either<StoreFailure, Option<KvEntry>> read(String key) {
-		return call(HttpCall.of("GET", "/citronrelay/kv-key").query("key", key), TIMEOUT_MS)
-			.flatMap((reply) -> switch (reply.status()) {
-				case OK -> body(reply).flatMap(PlatformStore::entry).map(Option::some);
-				case NOT_FOUND -> Either.right(Option.none());
-				default -> Either.left(unexpected(reply));
-			});
+		return call(readOf(key), TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+			case OK -> body(reply).flatMap(PlatformStore::entry).map(Option::some);
+			case NOT_FOUND -> Either.right(Option.none());
+			default -> Either.left(unexpected(reply));
+		});
 	}
 
 	@Override
@@ -137,6 +136,10 @@
 		return leaseExists(HttpCall.of("DELETE", "/citronrelay/kv-lease-end/" + lease));
 	}
 
+	static HttpCall readOf(String key) {
+		return HttpCall.of("GET", "/citronrelay/kv-key").query("key", key);
+	}
+
 	private Either<StoreFailure, Boolean> leaseExists(HttpCall call) {
 		return call(call, TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
 			case OK -> Either.right(true);
--- a/src/test/java/org/citronrelay/internal/cluster/BatchJobServiceTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/BatchJobServiceTests.java
@@ -20,7 +20,7 @@
 
 	private long now;
 
-	private long storeAnsweredAt;
+	private StoreReachability reachability = StoreReachability.REACHABLE;
 
 	private final List<String> notifiedKeys = new ArrayList<>();
 
@@ -32,6 +32,16 @@
 		assertThat(this.service.phase("a").get().get()).isEqualTo(JobPhase.QUEUED);
 	}
 
+	@Test
+	void aDifferentJobUnderAStoredIdIsNotAccepted() {
+		// given
+		this.service.submit(job("a"));
+		// when
+		BatchJob other = job("a", "another payload");
+		// then
+		assertThat(this.service.submit(other)).isInstanceOf(Submission.IdTaken.class);
+	}
+
 	@Test
 	void theCoordinatorIsNotifiedOfEachRecordOnce() {
 		// when
@@ -86,9 +96,9 @@
 	}
 
 	@Test
-	void callersAreRefusedWithoutACallToAStoreThatHasNotAnsweredForTwoSeconds() {
+	void callersAreRefusedWithoutACallWhileNoWayToTheStoreWorks() {
 		// given
-		this.storeAnsweredAt = -2_001;
+		this.reachability = StoreReachability.REACHABLE.failed("no answer", 1);
 		// when
 		Submission submission = this.service.submit(job("a"));
 		// then
@@ -121,14 +131,18 @@
 	}
 
 	private BatchJobService service(ClusterStore clusterStore) {
-		return new BatchJobService(clusterStore, () -> this.now += 10, () -> this.storeAnsweredAt,
+		return new BatchJobService(clusterStore, () -> this.now += 10, () -> this.reachability,
 				(key, value) -> this.notifiedKeys.add(key));
 	}
 
 	static BatchJob job(String id) {
+		return job(id, "payload");
+	}
+
+	private static BatchJob job(String id, String payload) {
 		Step step = new Step(1, new Resources(1_000, 1_000, 1), 1_000, List.of(), Step.Shape.INDEPENDENT,
 				Step.Limits.NONE, false);
-		return new BatchJob(id, "queue", "team", "payload", List.of(step), BatchJob.Repeat.ONCE, 0);
+		return new BatchJob(id, "queue", "team", payload, List.of(step), BatchJob.Repeat.ONCE, 0);
 	}
 
 }
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -23,6 +23,7 @@
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.JobPhase;
+import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.schedule.StartAnswer;
 import org.citronrelay.internal.schedule.VmAnswer;
 import org.citronrelay.internal.settings.LogSettings;
@@ -46,7 +47,7 @@
 	private final WorkNotifier notifier = new WorkNotifier((to, call, timeoutMs) -> new Exchange.NotSent("no network"),
 			Runnable::run, this.coordinator, Option::none);
 
-	private final BatchJobService service = new BatchJobService(this.store, () -> 0, () -> 0,
+	private final BatchJobService service = new BatchJobService(this.store, () -> 0, () -> StoreReachability.REACHABLE,
 			this.notifier::notifyStored);
 
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -170,7 +171,7 @@
 
 	private void coordinate() {
 		long token = this.store.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
-		this.term = new Term(token, "", Long.MAX_VALUE);
+		this.term = new Term(token, "", new Moment(Long.MAX_VALUE, Long.MAX_VALUE));
 		ClusterSettings settings = new ClusterSettings("test", "a",
 				new ClusterSettings.Listen(UNUSED_ADDRESS, UNUSED_ADDRESS, UNUSED_ADDRESS, UNUSED_ADDRESS),
 				UNUSED_ADDRESS, List.of(), 1, ClusterSettings.Coordination.DEFAULT, 1_000, 120_000,
--- a/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
@@ -97,6 +97,48 @@
 		assertThat(this.route.exchange(CALL, 100)).isInstanceOf(Exchange.NotSent.class);
 	}
 
+	@Test
+	void aProbeThatTheStoreAnswersRestoresTheDirectWayAtOnce() {
+		// given a store that neither this process nor its peers reach
+		this.scriptedExchanges.addAll(List.of(notSent(), answered(503), notSent()));
+		this.route.exchange(CALL, 100);
+		assertThat(this.route.reachability().lost()).isTrue();
+		assertThat(this.route.directWayAvoided()).isTrue();
+		// when
+		this.scriptedExchanges.addAll(List.of(answered(404), answered(200)));
+		this.route.probeDirectly(CALL, 100);
+		// then
+		assertThat(this.route.reachability().lost()).isFalse();
+		assertThat(status(this.route.exchange(CALL, 100))).isEqualTo(200);
+		assertThat(this.sentCalls).endsWith("store /write", "store /write");
+	}
+
+	@Test
+	void aProcessIsIsolatedOnceItsPeersDoNotAnswerProbes() {
+		// given
+		this.scriptedExchanges.addAll(List.of(notSent(), notSent(), notSent()));
+		this.route.exchange(CALL, 100);
+		// when
+		for (int probe = 0; probe < 4; probe++) {
+			this.scriptedExchanges.add(notSent());
+			this.route.probePeer(CALL, 100);
+		}
+		// then
+		assertThat(this.route.reachability().isolated()).isTrue();
+	}
+
+	@Test
+	void aPeerThatReachesTheStoreEndsTheLoss() {
+		// given
+		this.scriptedExchanges.addAll(List.of(notSent(), notSent(), notSent()));
+		this.route.exchange(CALL, 100);
+		// when
+		this.scriptedExchanges.add(answered(404));
+		this.route.probePeer(CALL, 100);
+		// then
+		assertThat(this.route.reachability().lost()).isFalse();
+	}
+
 	@Test
 	void theAnswerToAPeerTellsWhetherTheCallMayHaveTakenEffect() {
 		// given
--- a/src/test/java/org/citronrelay/platform/PlatformJobApiTests.java
+++ b/src/test/java/org/citronrelay/platform/PlatformJobApiTests.java
@@ -8,6 +8,7 @@
 import org.citronrelay.internal.batch.QueueCatalogue;
 import org.citronrelay.internal.cluster.BatchJobService;
 import org.citronrelay.internal.cluster.InMemoryClusterStore;
+import org.citronrelay.internal.cluster.StoreReachability;
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpReply;
 import org.junit.jupiter.api.Test;
@@ -30,7 +31,7 @@
 			Map.of("good", "team"), 500);
 
 	private final PlatformJobApi api = new PlatformJobApi(
-			new BatchJobService(this.store, () -> 0, () -> 0, (key, value) -> {
+			new BatchJobService(this.store, () -> 0, () -> StoreReachability.REACHABLE, (key, value) -> {
 			}), () -> this.catalogue, () -> 42);
 
 	@Test
@@ -74,6 +75,20 @@
 		assertThat(call("GET", "/q/", "").status()).isEqualTo(503);
 	}
 
+	@Test
+	void aRefusalDoesNotDenyThatAnEarlierCallWithTheSameIdWasAccepted() {
+		// given
+		call("POST", "/q/" + ID, JOB);
+		// when
+		this.store.refuseCalls(true);
+		HttpReply again = call("POST", "/q/" + ID, JOB);
+		HttpReply lookup = call("GET", "/q/" + ID, "");
+		// then
+		assertThat(again.json().path("title").asText()).startsWith("This call stored no job")
+			.doesNotContain("will not run");
+		assertThat(lookup.json().path("title").asText()).startsWith("The state of the job cannot be read");
+	}
+
 	@Test
 	void badInputIsAnsweredWithFindingsAndStoresNothing() {
 		assertThat(call("POST", "/q/xyz", JOB).status()).isEqualTo(400);
