--- a/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
@@ -10,6 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.schedule.JobPhase;
+import org.citronrelay.internal.schedule.RunEndCause;
 import org.citronrelay.internal.schedule.StartAnswer;
 
 /**
@@ -76,8 +77,13 @@
 		}
 		Gauge.builder("citronrelay.tasks.placed", () -> statistics.get().placedTasks()).register(this.registry);
 		Gauge.builder("citronrelay.vms", () -> statistics.get().vms()).register(this.registry);
-		Gauge.builder("citronrelay.wasted.core.seconds", () -> statistics.get().wastedCoreSeconds())
-			.register(this.registry);
+		for (RunEndCause cause : RunEndCause.values()) {
+			Gauge
+				.builder("citronrelay.wasted.core.seconds",
+						() -> statistics.get().wastedCoreSeconds().getOrDefault(cause, 0.0))
+				.tag("cause", cause.name())
+				.register(this.registry);
+		}
 		Gauge.builder("citronrelay.catalogue.version", catalogueVersion::get).register(this.registry);
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/StoreProbe.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreProbe.java
@@ -11,8 +11,11 @@
  */
 final class StoreProbe {
 
-	/** The time between two probes of each way, in milliseconds. */
-	private static final long INTERVAL_MS = 150;
+	/** The time between two direct probes, in milliseconds. */
+	private static final long INTERVAL_MS = 75;
+
+	/** How many direct probes are sent for one through a peer. */
+	private static final int DIRECT_PROBES_PER_PEER_PROBE = 2;
 
 	/**
 	 * The time limit of a direct probe, in milliseconds. A probe does not delay the next.
@@ -31,6 +34,8 @@
 
 	private final Executor executor;
 
+	private int count;
+
 	/**
 	 * Creates the probe of a process.
 	 * @param read a cheap read
@@ -54,7 +59,7 @@
 		if (lost || this.route.directWayAvoided()) {
 			this.executor.execute(() -> this.route.probeDirectly(this.read, DIRECT_TIMEOUT_MS));
 		}
-		if (lost) {
+		if (lost && this.count++ % DIRECT_PROBES_PER_PEER_PROBE == 0) {
 			this.executor.execute(() -> this.route.probePeer(this.read, PEER_TIMEOUT_MS));
 		}
 	}
--- a/src/main/java/org/citronrelay/internal/cluster/StoreReachability.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreReachability.java
@@ -17,7 +17,7 @@
 	public static final StoreReachability REACHABLE = new StoreReachability(0, "", 0, 0);
 
 	/** How many probes of peers are remembered. */
-	private static final int REMEMBERED_PROBES = 8;
+	private static final int REMEMBERED_PROBES = 6;
 
 	/** The least number of probes from which isolation is concluded. */
 	private static final int PROBES_TO_DECIDE = 4;
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -58,6 +58,12 @@
 
 	private volatile long retryDirectAt = Long.MIN_VALUE;
 
+	/**
+	 * When the store last answered, directly or through a peer, in monotonic
+	 * milliseconds.
+	 */
+	private volatile long answeredAt = Long.MIN_VALUE;
+
 	private final AtomicReference<StoreReachability> reachability = new AtomicReference<>(StoreReachability.REACHABLE);
 
 	private final AtomicInteger probes = new AtomicInteger();
@@ -84,13 +90,16 @@
 	public Exchange exchange(HttpCall call, long timeoutMs) {
 		Exchange direct = new Exchange.NotSent(
 				"the store refused or did not answer this process within the last second");
-		if (this.ticker.millis() >= this.retryDirectAt) {
+		long began = this.ticker.millis();
+		if (began >= this.retryDirectAt) {
 			direct = exchangeDirectly(call, timeoutMs);
 			if (isStoreAnswer(direct)) {
 				recordAnswer("directly");
 				return direct;
 			}
-			this.retryDirectAt = this.ticker.millis() + DIRECT_RETRY_MS;
+			if (this.answeredAt <= began) {
+				this.retryDirectAt = this.ticker.millis() + DIRECT_RETRY_MS;
+			}
 		}
 		Exchange relayed = exchangeThroughPeers(call, timeoutMs);
 		if (isStoreAnswer(relayed)) {
@@ -98,15 +107,26 @@
 			return relayed;
 		}
 		Exchange lessCertain = lessCertain(direct, relayed);
+		recordFailure(lessCertain, reason(direct), began);
+		return lessCertain;
+	}
+
+	/**
+	 * Records a call that failed on every way. A call that began before the last answer
+	 * tells nothing about the present: a watch may end long after the store is back.
+	 */
+	private void recordFailure(Exchange failure, String directFailure, long began) {
+		if (this.answeredAt > began) {
+			return;
+		}
 		StoreReachability before = this.reachability
-			.getAndUpdate((state) -> state.failed(reason(lessCertain), this.ticker.millis()));
+			.getAndUpdate((state) -> state.failed(reason(failure), this.ticker.millis()));
 		if (!before.lost()) {
 			Part.PLATFORM.logger()
 				.atWarn()
-				.addKeyValue("directFailure", reason(direct))
+				.addKeyValue("directFailure", directFailure)
 				.log("Lost the connection to the store, directly and through peers; calls to it fail until it answers.");
 		}
-		return lessCertain;
 	}
 
 	/**
@@ -210,6 +230,7 @@
 	}
 
 	private void recordAnswer(String way) {
+		this.answeredAt = this.ticker.millis();
 		if (this.reachability.getAndSet(StoreReachability.REACHABLE).lost()) {
 			Part.PLATFORM.logger().atInfo().addKeyValue("route", way).log("The store answers again.");
 		}
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -118,7 +118,8 @@
 	 * Applies the registration of a VM. Runs of its earlier boots are lost.
 	 */
 	public void vmRegistered(VmRegistration registration, Moment now) {
-		this.vms.registered(registration).forEach((task) -> this.lifecycle.runLost(task, now, "the VM has restarted"));
+		this.vms.registered(registration)
+			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
 	}
 
 	/**
@@ -138,7 +139,7 @@
 			return;
 		}
 		this.vms.restarted(state, answer.boot())
-			.forEach((task) -> this.lifecycle.runLost(task, now, "the VM has restarted"));
+			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
 		if (answer.boot() == state.registration.boot()) {
 			this.vms.renewalAnswered(state, answer.clockMs(), now);
 			new VmAnswerHandler(this.lifecycle, this.outbox, this::task).handle(state, answer, now);
@@ -153,7 +154,7 @@
 	public void renewalUnanswered(String vm, boolean absent, Moment now) {
 		this.vms.renewalUnanswered(vm, now);
 		this.vms.runsEndedByShutdown(vm, absent)
-			.forEach((task) -> this.lifecycle.runLost(task, now, "the VM has shut down"));
+			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has shut down"));
 	}
 
 	/**
@@ -190,7 +191,8 @@
 				vm.tasks.stream()
 					.filter(TaskState::mayHaveStarted)
 					.toList()
-					.forEach((task) -> this.lifecycle.runLost(task, now, "the lease of the VM has lapsed"));
+					.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.LEASE_LAPSED,
+							"the lease of the VM has lapsed"));
 			}
 			this.lifecycle.stopStalledRuns(vm, now);
 			if (leadershipConfirmed) {
@@ -346,15 +348,17 @@
 	 * @param jobs the number of jobs in each phase
 	 * @param placedTasks the number of tasks that are assigned to a VM
 	 * @param vms the number of known VMs
-	 * @param wastedCoreSeconds the work of runs that was lost, in core-seconds
+	 * @param wastedCoreSeconds the work of runs that was lost, in core-seconds, by cause
 	 */
-	public record Statistics(Map<JobPhase, Integer> jobs, int placedTasks, int vms, double wastedCoreSeconds) {
+	public record Statistics(Map<JobPhase, Integer> jobs, int placedTasks, int vms,
+			Map<RunEndCause, Double> wastedCoreSeconds) {
 
 		/** The statistics of a process that is not the coordinator. */
-		public static final Statistics NONE = new Statistics(Map.of(), 0, 0, 0);
+		public static final Statistics NONE = new Statistics(Map.of(), 0, 0, Map.of());
 
 		public Statistics {
 			jobs = Map.copyOf(jobs);
+			wastedCoreSeconds = Map.copyOf(wastedCoreSeconds);
 		}
 
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -189,7 +189,7 @@
 		}
 		this.outbox.note(step.job.id(), "Preempting runs for urgent work", plan.victims().size() + " runs, "
 				+ Math.round(plan.cost()) + " core-seconds of unsaved work, for " + unplaced.size() + " tasks");
-		plan.victims().forEach(this.lifecycle::stop);
+		plan.victims().forEach((victim) -> this.lifecycle.stop(victim, RunEndCause.PREEMPTED));
 		claim(urgency, plan.targets());
 		return true;
 	}
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
@@ -0,0 +1,31 @@
+package org.citronrelay.internal.schedule;
+
+/**
+ * Why a run ended before its task was done, for logs and metrics.
+ */
+public enum RunEndCause {
+
+	/** The job was cancelled at the request of its caller. */
+	JOB_CANCELLED,
+	/** A task of the job has used all its attempts. */
+	JOB_FAILED,
+	/** The run made room for more urgent work. */
+	PREEMPTED,
+	/** The run made no progress. */
+	STALLED,
+	/** Members of the gang did not start in time. */
+	GANG_INCOMPLETE,
+	/** Another member of the gang ended. */
+	GANG_BROKEN,
+	/** The VM refused to start the run. */
+	REFUSED,
+	/** The VM reported that the run failed. */
+	FAILED,
+	/** The lease of the VM lapsed. */
+	LEASE_LAPSED,
+	/** The VM restarted, shut down, or never started the run. */
+	VM_LOST,
+	/** The VM ended the run, and the coordinator did not ask for it. */
+	UNEXPECTED
+
+}
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -1,6 +1,7 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * Moves tasks from phase to phase, and issues the start and stop commands that follow.
@@ -24,7 +25,7 @@
 
 	private final ScheduleTimings timings;
 
-	private double wastedCoreSeconds;
+	private final WastedWork wasted = new WastedWork();
 
 	TaskLifecycle(VmRegistry vms, Outbox outbox, ScheduleTimings timings) {
 		this.vms = vms;
@@ -32,8 +33,11 @@
 		this.timings = timings;
 	}
 
-	double wastedCoreSeconds() {
-		return this.wastedCoreSeconds;
+	/**
+	 * Returns the work of runs that was lost, in core-seconds.
+	 */
+	Map<RunEndCause, Double> wastedCoreSeconds() {
+		return this.wasted.coreSeconds();
 	}
 
 	/**
@@ -52,6 +56,7 @@
 		task.cannotStartSince = 0;
 		task.recorded = false;
 		task.inherited = false;
+		task.stopCause = null;
 		vm.tasks.add(task);
 		JobState job = task.step.job;
 		job.unstored = true;
@@ -98,7 +103,7 @@
 				if (answer == StartAnswer.UNHEALTHY) {
 					quarantine(this.vms.find(task.vm), now);
 				}
-				stop(task);
+				stop(task, RunEndCause.REFUSED);
 			}
 			case FENCED, UNKNOWN -> {
 			}
@@ -110,7 +115,7 @@
 			runStarted(task, now);
 		}
 		if (task.step.job.phase.ended()) {
-			stop(task);
+			stop(task, causeOf(task.step.job.phase));
 		}
 		if (task.inherited) {
 			estimateStart(task, running, now);
@@ -145,11 +150,7 @@
 			case DONE -> runSucceeded(task, vm, now);
 			case FAILED -> runFailed(task, vm, now);
 			case STOPPED, LAPSED, BROKEN, ALONE -> {
-				if (ended.reason() != VmAnswer.EndReason.BROKEN) {
-					this.outbox.note(task.step.job.id(), "Run ended before its task was done", task.id() + " run "
-							+ task.run + " on " + vm.id() + ": " + ended.reason() + " at " + task.percent + "%");
-				}
-				this.wastedCoreSeconds += task.unsavedWork(now.monotonicMs());
+				endedEarly(task, causeOf(task, ended.reason()), ended.reason().name(), now);
 				release(task);
 				requeue(task);
 			}
@@ -159,15 +160,38 @@
 	/**
 	 * Handles a run that no longer exists although its VM listed no end of it.
 	 */
-	void runLost(TaskState task, Moment now, String reason) {
-		this.outbox.note(task.step.job.id(), "Run lost before its VM listed an end",
-				task.id() + " run " + task.run + " on " + task.vm + ": " + reason);
-		this.wastedCoreSeconds += task.unsavedWork(now.monotonicMs());
+	void runLost(TaskState task, Moment now, RunEndCause cause, String reason) {
+		endedEarly(task, cause, reason, now);
 		task.step.job.unstored = true;
 		release(task);
 		requeue(task);
 	}
 
+	/**
+	 * Records a run that ended before its task was done, and the work that is lost with
+	 * it.
+	 */
+	private void endedEarly(TaskState task, RunEndCause cause, String observed, Moment now) {
+		double lost = task.unsavedWork(now.monotonicMs());
+		this.wasted.add(cause, lost);
+		this.outbox.note(task.step.job.id(), "Run ended before its task was done",
+				task.id() + " run " + task.run + " on " + task.vm + " at " + task.percent + "%: " + cause + ", "
+						+ observed + ", " + Math.round(lost) + " core-seconds of unsaved work");
+	}
+
+	private static RunEndCause causeOf(TaskState task, VmAnswer.EndReason reason) {
+		return switch (reason) {
+			case BROKEN -> RunEndCause.GANG_BROKEN;
+			case ALONE -> RunEndCause.GANG_INCOMPLETE;
+			case LAPSED -> RunEndCause.LEASE_LAPSED;
+			default -> (task.stopCause != null) ? task.stopCause : RunEndCause.UNEXPECTED;
+		};
+	}
+
+	private static RunEndCause causeOf(JobPhase ended) {
+		return (ended == JobPhase.FAILED) ? RunEndCause.JOB_FAILED : RunEndCause.JOB_CANCELLED;
+	}
+
 	/**
 	 * Ends a job: its runs are stopped, and no further task of it starts.
 	 */
@@ -176,7 +200,7 @@
 		job.endedAt = now.monotonicMs();
 		job.unstored = true;
 		for (StepState step : job.steps) {
-			step.tasks.forEach(this::stop);
+			step.tasks.forEach((task) -> stop(task, causeOf(phase)));
 		}
 	}
 
@@ -184,7 +208,7 @@
 	 * Stops the run of a task, if there is one. A run for which no start command was
 	 * issued is released at once.
 	 */
-	void stop(TaskState task) {
+	void stop(TaskState task, RunEndCause cause) {
 		if (task.phase == TaskPhase.PLACED && !task.recorded && task.commandIssuedAt == 0) {
 			release(task);
 			task.step.job.unstored = true;
@@ -192,6 +216,7 @@
 		}
 		else if (task.phase == TaskPhase.PLACED || task.phase == TaskPhase.RUNNING) {
 			task.phase = TaskPhase.STOPPING;
+			task.stopCause = cause;
 			task.commandIssuedAt = 0;
 			task.recorded = true;
 		}
@@ -209,13 +234,13 @@
 								+ (now.monotonicMs() - task.progressedAt) + " ms");
 				task.avoidedVms.add(vm.id());
 				quarantine(vm, now);
-				stop(task);
+				stop(task, RunEndCause.STALLED);
 			}
 			else if (waitsForGangMembers(task, now)) {
 				this.outbox.note(task.step.job.id(), "Stopping a gang that has not started completely",
 						task.id() + " run " + task.run + " on " + vm.id() + " has waited "
 								+ (now.monotonicMs() - task.progressedAt) + " ms for members that have not started");
-				task.step.tasks.forEach(this::stop);
+				task.step.tasks.forEach((member) -> stop(member, RunEndCause.GANG_INCOMPLETE));
 			}
 		}
 	}
@@ -296,6 +321,7 @@
 		if (vm.consecutiveFailures >= FAILURES_TO_QUARANTINE) {
 			quarantine(vm, now);
 		}
+		this.wasted.add(RunEndCause.FAILED, task.unsavedWork(now.monotonicMs()));
 		release(task);
 		if (failureCounter.failures >= step.job.maxAttempts && !step.spec.shape().longRunning()
 				&& !step.job.phase.ended()) {
@@ -331,7 +357,7 @@
 			return;
 		}
 		task.phase = TaskPhase.ENDED;
-		task.step.tasks.forEach(this::stop);
+		task.step.tasks.forEach((member) -> stop(member, RunEndCause.GANG_BROKEN));
 		resetEndedGang(task.step);
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -59,6 +59,9 @@
 	/** Whether the assignment to the VM is stored, so that the run may be started. */
 	boolean recorded;
 
+	/** Why the run was told to stop, null while it was not. */
+	RunEndCause stopCause;
+
 	int percent;
 
 	/** When the percentage last rose, in monotonic milliseconds. */
--- a/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
@@ -105,8 +105,9 @@
 		boolean cannotStart = task.cannotStartSince > 0 && task.cannotStartSince <= sentAt;
 		boolean inherited = task.inherited && task.phase != TaskPhase.RUNNING;
 		if (cannotStart || inherited) {
-			this.lifecycle.runLost(task, now, cannotStart ? "the VM has confirmed that the run will not start"
-					: "the VM did not start the run that an earlier coordinator placed");
+			this.lifecycle.runLost(task, now, RunEndCause.VM_LOST,
+					cannotStart ? "the VM has confirmed that the run will not start"
+							: "the VM did not start the run that an earlier coordinator placed");
 		}
 	}
 
--- a/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/StoreRouteTests.java
@@ -31,13 +31,21 @@
 
 	private final Set<Address> calledPeers = new HashSet<>();
 
+	private long now;
+
+	/** Runs while a call is in progress. */
+	private Runnable duringExchange = () -> {
+	};
+
 	private final StoreRoute route = new StoreRoute((to, call, timeoutMs) -> {
 		if (!to.equals(STORE)) {
 			this.calledPeers.add(to);
 		}
+		this.duringExchange.run();
 		this.sentCalls.add((to.equals(STORE) ? "store " : "peer ") + call.path());
 		return this.scriptedExchanges.pop();
-	}, STORE, () -> List.of(new Address("10.0.0.2", 2), new Address("10.0.0.3", 3)), () -> 0, new ClusterMetrics());
+	}, STORE, () -> List.of(new Address("10.0.0.2", 2), new Address("10.0.0.3", 3)), () -> this.now,
+			new ClusterMetrics());
 
 	@Test
 	void aCallThatTheStoreRefusesGoesThroughAPeer() {
@@ -113,6 +121,25 @@
 		assertThat(this.sentCalls).endsWith("store /write", "store /write");
 	}
 
+	@Test
+	void aCallThatBeganBeforeTheLastAnswerSaysNothingAboutThePresent() {
+		// given a watch that fails on every way only after another call was answered
+		this.duringExchange = () -> {
+			this.duringExchange = () -> {
+			};
+			this.now = 10;
+			this.scriptedExchanges.addFirst(answered(200));
+			this.route.exchange(CALL, 100);
+		};
+		this.scriptedExchanges.addAll(List.of(notSent(), answered(503), notSent()));
+		// when
+		Exchange watch = this.route.exchange(HttpCall.of("GET", "/watch"), 100);
+		// then
+		assertThat(watch).isInstanceOf(Exchange.NotSent.class);
+		assertThat(this.route.reachability().lost()).isFalse();
+		assertThat(this.route.directWayAvoided()).isFalse();
+	}
+
 	@Test
 	void aProcessIsIsolatedOnceItsPeersDoNotAnswerProbes() {
 		// given
