--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -118,7 +118,7 @@
 	 * Applies the registration of a VM. Runs of its earlier boots are lost.
 	 */
 	public void vmRegistered(VmRegistration registration, Moment now) {
-		this.vms.registered(registration)
+		this.vms.registered(registration, now)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
 	}
 
@@ -195,6 +195,7 @@
 							"the lease of the VM has lapsed"));
 			}
 			this.lifecycle.stopStalledRuns(vm, now);
+			this.lifecycle.evacuate(vm, now);
 			if (leadershipConfirmed) {
 				this.lifecycle.issueCommands(vm, now);
 			}
--- a/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
+++ b/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
@@ -11,6 +11,8 @@
 	JOB_FAILED,
 	/** The run made room for more urgent work. */
 	PREEMPTED,
+	/** The VM was about to shut down. */
+	EVACUATED,
 	/** The run made no progress. */
 	STALLED,
 	/** Members of the gang did not start in time. */
--- a/src/main/java/org/citronrelay/internal/schedule/ScheduleTimings.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ScheduleTimings.java
@@ -11,8 +11,9 @@
  * before it is stopped and its task moved
  * @param gangWaitMs how long VMs let a member of a gang wait for the others
  * @param heartbeatMs how often a VM renews its registration
+ * @param stopGraceMs how long a VM may take to stop a run
  * @param quarantineMs how long a quarantined VM gets no new tasks
  */
 public record ScheduleTimings(long leaseMs, long longestLeaseMs, long renewWaitMs, long retryMs, long stallMs,
-		long gangWaitMs, long heartbeatMs, long quarantineMs) {
+		long gangWaitMs, long heartbeatMs, long stopGraceMs, long quarantineMs) {
 }
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -19,6 +19,12 @@
 
 	private static final int ALL_PERCENT = 100;
 
+	/**
+	 * The factor on the time without progress for runs that have reported all of their
+	 * work: they have the most to lose, and percentages are rough.
+	 */
+	private static final int COMPLETE_RUN_PATIENCE = 3;
+
 	private final VmRegistry vms;
 
 	private final Outbox outbox;
@@ -245,6 +251,24 @@
 		}
 	}
 
+	/**
+	 * Stops the runs that have to leave a VM before it shuts down, a gang as a whole.
+	 */
+	void evacuate(VmState vm, Moment now) {
+		if (vm.leavesAt == Long.MAX_VALUE) {
+			return;
+		}
+		for (TaskState task : List.copyOf(vm.tasks)) {
+			if (Evacuation.due(task, vm.leavesAt, this.timings.stopGraceMs(), now.monotonicMs())) {
+				this.outbox.note(task.step.job.id(), "Moving a run off a VM that is about to shut down",
+						task.id() + " run " + task.run + " on " + vm.id() + " at " + task.percent + "%, "
+								+ (vm.leavesAt - now.monotonicMs()) + " ms before the VM may leave");
+				List<TaskState> members = task.step.spec.gang() ? task.step.tasks : List.of(task);
+				members.forEach((member) -> stop(member, RunEndCause.EVACUATED));
+			}
+		}
+	}
+
 	/**
 	 * Whether a gang member runs while others have not started, for so long that its VM
 	 * would soon end it.
@@ -265,13 +289,23 @@
 		}
 	}
 
+	/**
+	 * Whether a run makes no progress. The members of a gang end together, so the fast
+	 * ones wait for the slow ones: a gang makes progress while any member does, and a
+	 * member that is behind is the one that stalls it.
+	 */
 	private boolean stalled(TaskState task, VmState vm, Moment now) {
-		long withoutProgressMs = vm.answeredAt - task.progressedAt;
-		boolean allRunning = !task.step.spec.gang()
-				|| task.step.tasks.stream().allMatch((member) -> member.phase == TaskPhase.RUNNING);
-		return allRunning && !task.step.spec.shape().longRunning()
-				&& withoutProgressMs > this.timings.stallMs() + task.step.spec.estimateMs() / 10
-				&& now.monotonicMs() > vm.answeredAt;
+		StepState step = task.step;
+		List<TaskState> members = step.spec.gang() ? step.tasks : List.of(task);
+		if (step.spec.shape().longRunning() || now.monotonicMs() <= vm.answeredAt
+				|| members.stream().anyMatch((member) -> member.phase != TaskPhase.RUNNING)
+				|| members.stream().anyMatch((member) -> member.percent < task.percent)) {
+			return false;
+		}
+		long progressedAt = members.stream().mapToLong((member) -> member.progressedAt).max().orElse(0);
+		boolean complete = members.stream().allMatch((member) -> member.percent >= ALL_PERCENT);
+		long limitMs = this.timings.stallMs() + step.spec.estimateMs() / 10;
+		return vm.answeredAt - progressedAt > (complete ? COMPLETE_RUN_PATIENCE * limitMs : limitMs);
 	}
 
 	private void runStarted(TaskState task, Moment now) {
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -63,7 +63,7 @@
 	 * Applies a registration, unless it is of an earlier boot. Returns the runs that
 	 * ended because the VM has restarted.
 	 */
-	List<TaskState> registered(VmRegistration registration) {
+	List<TaskState> registered(VmRegistration registration, Moment now) {
 		VmState vm = this.vms.computeIfAbsent(registration.id(), (id) -> new VmState(registration));
 		if (registration.boot() < vm.registration.boot()) {
 			return List.of();
@@ -72,6 +72,8 @@
 		vm.registration = registration;
 		vm.registered = true;
 		vm.removedItself = false;
+		boolean announced = registration.draining() && registration.remainingMs() != VmRegistration.UNKNOWN;
+		vm.leavesAt = announced ? now.monotonicMs() + registration.remainingMs() : Long.MAX_VALUE;
 		return lost;
 	}
 
@@ -85,8 +87,8 @@
 		}
 		VmRegistration previous = vm.registration;
 		vm.registration = new VmRegistration(previous.id(), previous.pool(), previous.address(),
-				previous.failureDomain(), boot, previous.draining(), previous.capacity(), previous.rack(),
-				previous.labels());
+				previous.failureDomain(), boot, previous.draining(), previous.remainingMs(), previous.capacity(),
+				previous.rack(), previous.labels());
 		vm.orphanedRuns.clear();
 		vm.unstoredEnds.clear();
 		vm.handledEnd = 0;
@@ -219,8 +221,8 @@
 	}
 
 	private static VmState unregisteredVm(String id) {
-		VmState vm = new VmState(
-				new VmRegistration(id, "", UNKNOWN_ADDRESS, "", 0, false, Resources.NONE, "", Set.of()));
+		VmState vm = new VmState(new VmRegistration(id, "", UNKNOWN_ADDRESS, "", 0, false, VmRegistration.UNKNOWN,
+				Resources.NONE, "", Set.of()));
 		vm.registered = false;
 		return vm;
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -58,6 +58,12 @@
 	/** The numbers of ends that were handled and are not stored yet. */
 	final TreeSet<Long> unstoredEnds = new TreeSet<>();
 
+	/**
+	 * The earliest time at which the VM may shut down, in monotonic milliseconds;
+	 * {@link Long#MAX_VALUE} if it has announced none.
+	 */
+	long leavesAt = Long.MAX_VALUE;
+
 	int consecutiveFailures;
 
 	/** The time until which the VM gets no new tasks, in monotonic milliseconds. */
--- a/src/main/java/org/citronrelay/platform/PlatformRecordReader.java
+++ b/src/main/java/org/citronrelay/platform/PlatformRecordReader.java
@@ -87,7 +87,8 @@
 				rack = label.asText();
 			}
 			return Either.right(new VmRegistration(id, root.path("service").asText(), address,
-					root.path("zone").asText(), root.path("born").asLong(), state.equals(DRAINING), resources(capacity),
+					root.path("zone").asText(), root.path("born").asLong(), state.equals(DRAINING),
+					root.path("remainingMs").asLong(VmRegistration.UNKNOWN), resources(capacity),
 					(labels.size() > 1) ? rack : "", labels));
 		});
 	}
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -144,8 +144,8 @@
 		coordinate();
 		// when
 		this.coordinator.get()
-			.enqueue(new CoordinatorEvent.VmRegistered(
-					new VmRegistration("vm", "pool", UNUSED_ADDRESS, "a", 1, false, Resources.NONE, "", Set.of())));
+			.enqueue(new CoordinatorEvent.VmRegistered(new VmRegistration("vm", "pool", UNUSED_ADDRESS, "a", 1, false,
+					VmRegistration.UNKNOWN, Resources.NONE, "", Set.of())));
 		// then
 		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> renewals.get() > 2);
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
@@ -155,6 +155,20 @@
 		assertThat(this.fixture.startsOf("gang")).isEqualTo(3);
 	}
 
+	@Test
+	void aGangIsNotStoppedWhileItsFastMembersWaitForASlowOne() {
+		// given a gang of which one member runs on a slow VM
+		this.fixture.vm("fast", "r1");
+		FakeVm slow = this.fixture.vm("slow", "r1");
+		slow.slowness = 6;
+		this.fixture.submit("gang", "normal", SchedulerFixture.gang(2, WHOLE_VM, 4_000, true));
+		// when
+		this.fixture.advanceTime(26_000);
+		// then
+		assertThat(this.fixture.startsOf("gang")).isEqualTo(2);
+		assertThat(this.fixture.phase("gang")).isEqualTo("COMPLETED");
+	}
+
 	@Test
 	void aTaskReturnsToAVmOnWhichItFailedWhenThereIsNoOther() {
 		// given
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -32,6 +32,12 @@
 
 	long boot = 1;
 
+	/** How many times its estimate a task takes here. */
+	long slowness = 1;
+
+	/** How long the VM says it stays; it drains then. */
+	long remainingMs = VmRegistration.UNKNOWN;
+
 	boolean unreachable;
 
 	boolean refusingConnections;
@@ -78,8 +84,9 @@
 	}
 
 	VmRegistration registration() {
-		return new VmRegistration(this.id, "pool", new Address("10.0.0.1", 1), "a", this.boot, false,
-				SchedulerFixture.CAPACITY, this.rack, Set.of("a", this.rack));
+		return new VmRegistration(this.id, "pool", new Address("10.0.0.1", 1), "a", this.boot,
+				this.remainingMs != VmRegistration.UNKNOWN, this.remainingMs, SchedulerFixture.CAPACITY, this.rack,
+				Set.of("a", this.rack));
 	}
 
 	Resources free() {
@@ -247,7 +254,7 @@
 			.max()
 			.orElse(run.since());
 		return memberVms.size() == expected && memberVms.stream().noneMatch((vm) -> vm.hanging)
-				&& this.fixture.now >= startedAt + run.step().estimateMs();
+				&& this.fixture.now >= startedAt + run.step().estimateMs() * slowestOf(memberVms);
 	}
 
 	/**
@@ -311,8 +318,12 @@
 	 */
 	private int percent(TaskId task, Run run) {
 		boolean waitsForMembers = run.step().gang() && membersOf(task, run).size() < run.step().count();
-		return (this.hanging || waitsForMembers) ? 0
-				: (int) (100 * (this.fixture.now - run.since()) / Math.max(1, run.step().estimateMs()));
+		return (this.hanging || waitsForMembers) ? 0 : (int) Math.min(100,
+				100 * (this.fixture.now - run.since()) / Math.max(1, run.step().estimateMs() * this.slowness));
+	}
+
+	private static long slowestOf(List<FakeVm> vms) {
+		return vms.stream().mapToLong((vm) -> vm.slowness).max().orElse(1);
 	}
 
 	private VmAnswer answer() {
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -22,7 +22,8 @@
  */
 final class SchedulerFixture {
 
-	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_500, 5_000);
+	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_500, 1_000,
+			5_000);
 
 	static final Resources CAPACITY = new Resources(128_000, 512_000, 8);
 
