--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -126,10 +126,12 @@
 		if (task.inherited) {
 			estimateStart(task, running, now);
 		}
+		int before = task.percent;
 		if (running.percent() > task.percent) {
 			task.percent = running.percent();
 			task.progressedAt = now.monotonicMs();
 		}
+		SpeedObserver.progressReported(task, before, this.vms.find(task.vm), now.monotonicMs());
 		if (!running.checkpoint().isEmpty()) {
 			if (!running.checkpoint().equals(task.step.checkpoint(task))) {
 				task.checkpointedAt = now.monotonicMs();
@@ -314,6 +316,7 @@
 		}
 		task.phase = TaskPhase.RUNNING;
 		task.progressedAt = now.monotonicMs();
+		SpeedObserver.runStarted(task, now.monotonicMs());
 		JobState job = task.step.job;
 		if (job.phase == JobPhase.QUEUED) {
 			job.phase = JobPhase.RUNNING;
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -64,6 +64,8 @@
 
 	int percent;
 
+	final ProgressRate progress = new ProgressRate();
+
 	/** When the percentage last rose, in monotonic milliseconds. */
 	long progressedAt;
 
