--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerFaultTests.java
@@ -7,6 +7,7 @@
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.Step;
+import org.citronrelay.internal.batch.VmRegistration;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -111,6 +112,56 @@
 			.allSatisfy((job) -> assertThat(fixture.phase(job)).as(job).isEqualTo("COMPLETED"));
 	}
 
+	/**
+	 * Overload on VMs that take time to stop runs, become slow, announce their shutdown
+	 * and stay longer than announced, while coordinators change.
+	 */
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void preemptionAndEvacuationMakeNoTaskRunTwiceAndLoseNoJob(long seed) {
+		// given
+		Random random = new Random(seed);
+		SchedulerFixture fixture = new SchedulerFixture();
+		for (int number = 0; number < VMS; number++) {
+			fixture.vm("vm" + number, "r" + number / 3).stopGraceMs = random.nextInt(1_000);
+		}
+		// when
+		for (int round = 0; round < ROUNDS; round++) {
+			if (random.nextInt(2) == 0) {
+				submit(fixture, random, "job" + round);
+			}
+			injectSlowdownOrShutdown(fixture, random);
+			fixture.advanceTime(ROUND_MS);
+		}
+		fixture.vms.values().forEach((vm) -> vm.slowness = 1);
+		clearFaults(fixture);
+		fixture.advanceTime(RECOVERY_MS);
+		// then
+		assertThat(fixture.violations).isEmpty();
+		assertThat(fixture.jobs.keySet())
+			.allSatisfy((job) -> assertThat(fixture.phase(job)).as(job).isEqualTo("COMPLETED"));
+	}
+
+	private static void injectSlowdownOrShutdown(SchedulerFixture fixture, Random random) {
+		FakeVm vm = fixture.vms.get("vm" + random.nextInt(VMS));
+		switch (random.nextInt(10)) {
+			case 0, 1 -> vm.slowness = (vm.slowness > 1) ? 1 : 2 + random.nextInt(5);
+			case 2, 3 -> {
+				vm.remainingMs = random.nextInt(4_000);
+				fixture.scheduler.vmRegistered(vm.registration(), fixture.moment());
+			}
+			case 4 -> {
+				vm.reboot();
+				vm.remainingMs = VmRegistration.UNKNOWN;
+				fixture.scheduler.vmRegistered(vm.registration(), fixture.moment());
+			}
+			case 5 -> fixture.startNewCoordinator();
+			case 6 -> vm.startDelayMs = (vm.startDelayMs > 0) ? 0 : 1_000 + random.nextInt(4_000);
+			default -> {
+			}
+		}
+	}
+
 	private static void submit(SchedulerFixture fixture, Random random, String id) {
 		Resources taskResources = new Resources(11_000 + random.nextInt(40_000), 33_000 + random.nextInt(150_000),
 				1 << random.nextInt(4));
@@ -170,6 +221,7 @@
 			vm.losingAnswers = false;
 			vm.startDelayMs = 0;
 			vm.hanging = false;
+			vm.remainingMs = VmRegistration.UNKNOWN;
 			fixture.scheduler.vmRegistered(vm.registration(), fixture.moment());
 		}
 	}
