Answer 500 when a handler fails with an error, not only with an exception

Cause: only RuntimeException was caught, the response was completed in the finally block, and its default status is 200. An error such as a stack overflow or a missing class could turn a call into a false acceptance. Change: the status is 500 from the start, and errors are caught. Also: the speed of a VM is not taken from reports of 100%, since the run may have waited for its gang since.

--- a/src/main/java/org/citronrelay/internal/cluster/ErrorBoundary.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ErrorBoundary.java
@@ -31,11 +31,11 @@
 	 * unexpected error.
 	 * @param activity what the action does, for the log
 	 */
-	static <T> T call(String activity, Supplier<T> action, Function<RuntimeException, T> fallback) {
+	static <T> T call(String activity, Supplier<T> action, Function<Throwable, T> fallback) {
 		try {
 			return action.get();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError | LinkageError ex) {
 			Part.ENTRY.logger()
 				.atError()
 				.addKeyValue("activity", activity)
--- a/src/main/java/org/citronrelay/internal/http/HttpEndpoint.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpEndpoint.java
@@ -99,6 +99,8 @@
 		@Override
 		public void service(Request request, Response response) {
 			HttpEndpoint.this.inProgress.incrementAndGet();
+			// Grizzly's default status is 200; a call that fails must not look accepted.
+			response.setStatus(STATUS_INTERNAL_ERROR);
 			response.suspend();
 			HttpEndpoint.this.callExecutor.execute(() -> answer(request, response));
 		}
@@ -129,7 +131,7 @@
 			try {
 				return this.handler.handle(call(request, body));
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				Part.ENTRY.logger()
 					.error("Handling a call failed with an unexpected error; it is answered with status 500.", ex);
 				return Problem
--- a/src/main/java/org/citronrelay/internal/schedule/SpeedObserver.java
+++ b/src/main/java/org/citronrelay/internal/schedule/SpeedObserver.java
@@ -30,15 +30,15 @@
 	}
 
 	/**
-	 * Applies a report of a run to the speed of its VM.
-	 * @param before the percentage of the report before
+	 * Applies a report of a run to the speed of its VM. A run that has reported all of
+	 * its work may have waited since.
 	 */
-	static void progressReported(TaskState task, int before, VmState vm, long now) {
+	static void progressReported(TaskState task, VmState vm, long now) {
 		StepState step = task.step;
 		String dataRack = step.spec.limits().dataRack();
 		boolean farFromData = !dataRack.isEmpty() && !dataRack.equals(vm.registration.rack());
 		boolean waits = step.spec.gang() && step.tasks.stream().anyMatch((member) -> member.phase != TaskPhase.RUNNING);
-		if (waits || farFromData || step.spec.shape().longRunning() || before >= ALL_PERCENT
+		if (waits || farFromData || step.spec.shape().longRunning() || task.percent >= ALL_PERCENT
 				|| !task.progress.report(task.percent, step.spec.estimateMs(), now)) {
 			return;
 		}
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -126,12 +126,11 @@
 		if (task.inherited) {
 			estimateStart(task, running, now);
 		}
-		int before = task.percent;
 		if (running.percent() > task.percent) {
 			task.percent = running.percent();
 			task.progressedAt = now.monotonicMs();
 		}
-		SpeedObserver.progressReported(task, before, this.vms.find(task.vm), now.monotonicMs());
+		SpeedObserver.progressReported(task, this.vms.find(task.vm), now.monotonicMs());
 		if (!running.checkpoint().isEmpty()) {
 			if (!running.checkpoint().equals(task.step.checkpoint(task))) {
 				task.checkpointedAt = now.monotonicMs();
