--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -291,22 +291,23 @@
 	}
 
 	/**
-	 * Whether a run makes no progress. The members of a gang end together, so the fast
-	 * ones wait for the slow ones: a gang makes progress while any member does, and a
-	 * member that is behind is the one that stalls it.
+	 * Whether a run makes no progress. The members of a gang end together, so one that
+	 * has done all of its work waits for the others.
 	 */
 	private boolean stalled(TaskState task, VmState vm, Moment now) {
 		StepState step = task.step;
 		List<TaskState> members = step.spec.gang() ? step.tasks : List.of(task);
 		if (step.spec.shape().longRunning() || now.monotonicMs() <= vm.answeredAt
-				|| members.stream().anyMatch((member) -> member.phase != TaskPhase.RUNNING)
-				|| members.stream().anyMatch((member) -> member.percent < task.percent)) {
+				|| members.stream().anyMatch((member) -> member.phase != TaskPhase.RUNNING)) {
 			return false;
 		}
-		long progressedAt = members.stream().mapToLong((member) -> member.progressedAt).max().orElse(0);
-		boolean complete = members.stream().allMatch((member) -> member.percent >= ALL_PERCENT);
 		long limitMs = this.timings.stallMs() + step.spec.estimateMs() / 10;
-		return vm.answeredAt - progressedAt > (complete ? COMPLETE_RUN_PATIENCE * limitMs : limitMs);
+		if (task.percent < ALL_PERCENT) {
+			return vm.answeredAt - task.progressedAt > limitMs;
+		}
+		long progressedAt = members.stream().mapToLong((member) -> member.progressedAt).max().orElse(0);
+		return members.stream().allMatch((member) -> member.percent >= ALL_PERCENT)
+				&& vm.answeredAt - progressedAt > COMPLETE_RUN_PATIENCE * limitMs;
 	}
 
 	private void runStarted(TaskState task, Moment now) {
