--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -40,9 +40,6 @@
 	 */
 	private static final long PREFERRED_VMS_WAIT_MS = 1_500;
 
-	/** The largest share of the VMs that are avoided because they are slow. */
-	private static final double MAX_SLOW_SHARE = 0.3;
-
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private static final Function<VmCapacity, Resources> FREE = (vmCapacity) -> vmCapacity.free;
@@ -72,25 +69,11 @@
 			return;
 		}
 		List<VmCapacity> vmCapacities = this.vms.availableCapacities(now);
-		markSlowVms(vmCapacities, now);
 		Context context = new Context(now, TeamGuarantees.of(jobs, teams), new TaskPlacer(vmCapacities),
 				new BackfillReservations(vmCapacities.size(), now.monotonicMs()));
 		placeInOrder(context.queueOrder().rank(due), new CapacityClaims(vmCapacities), context);
 	}
 
-	/**
-	 * Marks the VMs that are slow at present. If many are, all count as equal: then the
-	 * work takes longer everywhere.
-	 */
-	private static void markSlowVms(List<VmCapacity> vmCapacities, Moment now) {
-		List<VmCapacity> slow = vmCapacities.stream()
-			.filter((vmCapacity) -> vmCapacity.vm.speed.slow(now.monotonicMs()))
-			.toList();
-		if (slow.size() <= MAX_SLOW_SHARE * vmCapacities.size()) {
-			slow.forEach((vmCapacity) -> vmCapacity.slow = true);
-		}
-	}
-
 	/**
 	 * Places the steps in their order. The claims of steps that no guarantee covers bind
 	 * only steps that no guarantee covers either.
@@ -116,7 +99,6 @@
 		StepState step = urgency.step();
 		step.waitingSince = (step.waitingSince > 0) ? step.waitingSince : context.now().monotonicMs();
 		step.claimedVms = List.of();
-		step.avoidsSlowVms = (step.spec.gang() || step.job.priority == 0) && !waitedLong(step, context);
 		if (urgency.expired() && context.placer().usage(step.job.pool) > MAX_USAGE_FOR_EXPIRED) {
 			return;
 		}
@@ -144,12 +126,9 @@
 	 */
 	private static boolean acceptsAnyVm(Urgency urgency, Context context) {
 		StepState step = urgency.step();
-		return urgency.expired() || (waitedLong(step, context)
-				&& (urgency.guaranteed() || context.placer().usage(step.job.pool) < LOW_USAGE));
-	}
-
-	private static boolean waitedLong(StepState step, Context context) {
-		return context.now().monotonicMs() - step.waitingSince >= PREFERRED_VMS_WAIT_MS;
+		boolean stillWaiting = context.now().monotonicMs() - step.waitingSince < PREFERRED_VMS_WAIT_MS;
+		return urgency.expired()
+				|| (!stillWaiting && (urgency.guaranteed() || context.placer().usage(step.job.pool) < LOW_USAGE));
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/schedule/StepState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/StepState.java
@@ -36,9 +36,6 @@
 	 */
 	long waitingSince;
 
-	/** Whether the step is not placed on slow VMs in the current round. */
-	boolean avoidsSlowVms;
-
 	/**
 	 * The ids of the VMs that are being emptied for waiting tasks of the step, one entry
 	 * a task; empty if the step has no claim to capacity.
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -130,7 +130,6 @@
 			task.percent = running.percent();
 			task.progressedAt = now.monotonicMs();
 		}
-		SpeedObserver.progressReported(task, this.vms.find(task.vm), now.monotonicMs());
 		if (!running.checkpoint().isEmpty()) {
 			if (!running.checkpoint().equals(task.step.checkpoint(task))) {
 				task.checkpointedAt = now.monotonicMs();
@@ -316,7 +315,6 @@
 		}
 		task.phase = TaskPhase.RUNNING;
 		task.progressedAt = now.monotonicMs();
-		SpeedObserver.runStarted(task, now.monotonicMs());
 		JobState job = task.step.job;
 		if (job.phase == JobPhase.QUEUED) {
 			job.phase = JobPhase.RUNNING;
--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -16,9 +16,6 @@
  */
 final class TaskPlacer {
 
-	/** More than all free shares of a VM, so that slow VMs are filled last. */
-	private static final double SLOW_VM_PENALTY = 10;
-
 	private final List<VmCapacity> vmCapacities;
 
 	private final Map<String, List<VmCapacity>> racks = new LinkedHashMap<>();
@@ -130,7 +127,7 @@
 		int limit = step.spec.limits().maxPerVm();
 		String label = step.spec.limits().label();
 		return vmCapacity.vm.registration.pool().equals(step.job.pool) && !task.avoidedVms.contains(vmCapacity.vm.id())
-				&& (limit == 0 || placedTasks < limit) && !(vmCapacity.slow && step.avoidsSlowVms)
+				&& (limit == 0 || placedTasks < limit)
 				&& (label.isEmpty() || vmCapacity.vm.registration.labels().contains(label));
 	}
 
@@ -153,8 +150,7 @@
 						placedOn.computeIfAbsent(vmCapacity, (key) -> placedTasks(step, key)))) {
 					continue;
 				}
-				double freeAfter = freeShares(free.minus(needs), vmCapacity.vm.registration.capacity())
-						+ (vmCapacity.slow ? SLOW_VM_PENALTY : 0);
+				double freeAfter = freeShares(free.minus(needs), vmCapacity.vm.registration.capacity());
 				if (freeAfter < leastFree) {
 					leastFree = freeAfter;
 					best = vmCapacity;
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -64,8 +64,6 @@
 
 	int percent;
 
-	final ProgressRate progress = new ProgressRate();
-
 	/** When the percentage last rose, in monotonic milliseconds. */
 	long progressedAt;
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
@@ -23,9 +23,6 @@
 	 */
 	Resources reserved = Resources.NONE;
 
-	/** Whether steps that must not be slow keep away from the VM. */
-	boolean slow;
-
 	/** The runs that are not being stopped, by expected end; computed on first use. */
 	private List<ExpectedEnd> expectedEnds;
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -98,7 +98,6 @@
 		vm.answeredAt = 0;
 		vm.leaseUntil = 0;
 		vm.consecutiveFailures = 0;
-		vm.speed = new VmSpeed();
 		vm.quarantinedUntil = 0;
 		return vm.tasks.stream().filter((task) -> task.boot < boot).toList();
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -64,8 +64,6 @@
 	 */
 	long leavesAt = Long.MAX_VALUE;
 
-	VmSpeed speed = new VmSpeed();
-
 	int consecutiveFailures;
 
 	/** The time until which the VM gets no new tasks, in monotonic milliseconds. */
