--- a/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
@@ -85,7 +85,11 @@
 				&& task.phase.occupiesCapacity();
 		if (!expected) {
 			Resources capacity = (task != null) ? task.needs() : Resources.NONE;
-			if (vm.orphanedRuns.put(runKey(running.task(), running.run()), capacity) == null) {
+			boolean first = vm.orphanedRuns.put(runKey(running.task(), running.run()), capacity) == null;
+			if (first && endsWithItsGang(task, running)) {
+				return;
+			}
+			if (first) {
 				this.outbox.note(running.task().job(), "Stopping an orphaned run",
 						running.task() + " run " + running.run() + " on " + vm.id() + " is not the recorded run");
 			}
@@ -95,6 +99,15 @@
 		this.lifecycle.runListed(task, running, now);
 	}
 
+	/**
+	 * Whether a run belongs to a gang of which another member has just been reported as
+	 * successful. The members end together, so this one needs no stop unless it is listed
+	 * again.
+	 */
+	private static boolean endsWithItsGang(TaskState task, VmAnswer.Running running) {
+		return task != null && task.step.spec.gang() && task.phase == TaskPhase.DONE && task.run == running.run();
+	}
+
 	/**
 	 * Handles a recorded run that is in neither list, so that the VM does not run it. The
 	 * run is lost if it can no longer start: the VM had confirmed this before the renewal
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerOverloadTests.java
@@ -6,6 +6,7 @@
 import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.QueueCatalogue;
 import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.batch.TaskId;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -169,6 +170,25 @@
 		assertThat(this.fixture.phase("gang")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void aGangMemberThatIsListedAsRunningAfterAnotherHasSucceededIsNotStopped() {
+		// given
+		this.fixture.vm("vm1", "r1");
+		this.fixture.vm("vm2", "r1");
+		this.fixture.submit("gang", "normal", SchedulerFixture.gang(2, WHOLE_VM, 10_000, true));
+		this.fixture.advanceTime(500);
+		TaskId first = taskOn("vm1");
+		TaskId second = taskOn("vm2");
+		// when one VM reports the end, and the answer of the other is older
+		this.fixture.scheduler.renewalAnswered("vm1", new VmAnswer(1, this.fixture.now, List.of(),
+				List.of(new VmAnswer.Ended(1, first, 1, VmAnswer.EndReason.DONE, ""))), this.fixture.moment());
+		this.fixture.scheduler.renewalAnswered("vm2",
+				new VmAnswer(1, this.fixture.now, List.of(new VmAnswer.Running(second, 1, "", 99)), List.of()),
+				this.fixture.moment());
+		// then
+		assertThat(this.fixture.scheduler.effects()).noneMatch((effect) -> effect instanceof Effect.Stop);
+	}
+
 	@Test
 	void aTaskReturnsToAVmOnWhichItFailedWhenThereIsNoOther() {
 		// given
@@ -189,6 +209,14 @@
 			.count();
 	}
 
+	private TaskId taskOn(String vm) {
+		return this.fixture.effects.stream()
+			.filter((effect) -> effect instanceof Effect.Start start && start.vm().id().equals(vm))
+			.map((effect) -> ((Effect.Start) effect).task())
+			.findFirst()
+			.orElseThrow();
+	}
+
 	private long countPreemptionsFor(String job) {
 		return this.fixture.effects.stream()
 			.filter((effect) -> effect instanceof Effect.Note note && note.job().equals(job)
