--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
@@ -1,5 +1,6 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.citronrelay.internal.batch.Resources;
@@ -366,6 +367,43 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void nothingStartsAndNoLeaseIsExtendedWhileLeadershipIsInDoubt() {
+		// given a running task, and one that waits
+		this.fixture.vm("vm1", "r1");
+		this.fixture.submit("running", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 60_000));
+		this.fixture.advanceTime(500);
+		this.fixture.submit("waiting", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 1_000));
+		// when
+		List<Effect> effects = new ArrayList<>();
+		for (int round = 0; round < 10; round++) {
+			this.fixture.now += 500;
+			this.fixture.scheduler.advance(this.fixture.moment(), false);
+			effects.addAll(this.fixture.scheduler.effects());
+		}
+		// then
+		assertThat(effects).noneMatch((effect) -> effect instanceof Effect.Start);
+		assertThat(effects).filteredOn((effect) -> effect instanceof Effect.Renew)
+			.allMatch((effect) -> ((Effect.Renew) effect).leaseUntil() == 0);
+	}
+
+	@Test
+	void aVmThatLeftIsNotUsedByANewCoordinator() {
+		// given
+		FakeVm left = this.fixture.vm("left", "r1");
+		this.fixture.vm("staying", "r1");
+		this.fixture.advanceTime(500);
+		// when
+		this.fixture.vms.remove(left.id);
+		this.fixture.startNewCoordinator();
+		this.fixture.submit("job", "normal", SchedulerFixture.step(20, SchedulerFixture.SMALL, 500));
+		this.fixture.advanceTime(5_000);
+		// then
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+		assertThat(this.fixture.effects)
+			.noneMatch((effect) -> effect instanceof Effect.Start start && start.vm().id().equals("left"));
+	}
+
 	@Test
 	void aTaskWithoutProgressIsMoved() {
 		// given
