Let a confirmed stop rule out a start once, not anew at each repetition

So the run never counted as gone, and the job stood still on an idle VM. Change: the first confirmation counts. Test: ClusterSchedulerTests, with a VM that waits before it answers renewals (fails before).

--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -175,7 +175,7 @@
 	public void stopAnswered(TaskId id, long run, Moment now) {
 		TaskState task = task(id);
 		if (task != null && task.run == run && task.phase == TaskPhase.STOPPING) {
-			task.cannotStartSince = now.monotonicMs();
+			task.startRuledOut(now);
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -100,7 +100,7 @@
 	void startAnswered(TaskState task, StartAnswer answer, Moment now) {
 		switch (answer) {
 			case STARTED -> runStarted(task, now);
-			case OUTDATED -> task.cannotStartSince = now.monotonicMs();
+			case OUTDATED -> task.startRuledOut(now);
 			case LATE -> task.commandIssuedAt = now.monotonicMs() - this.timings.retryMs();
 			case NO_ROOM, REJECTED, UNHEALTHY -> {
 				this.outbox.note(task.step.job.id(), "VM refused to start a run",
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -88,6 +88,17 @@
 		return this.phase != TaskPhase.PLACED || this.commandIssuedAt > 0 || this.inherited;
 	}
 
+	/**
+	 * Records that the VM will not start this run any more. The first time counts, also
+	 * if a repeated command confirms it again: a renewal sent after it tells whether the
+	 * run exists.
+	 */
+	void startRuledOut(Moment now) {
+		if (this.cannotStartSince == 0) {
+			this.cannotStartSince = now.monotonicMs();
+		}
+	}
+
 	Resources needs() {
 		return this.step.spec.taskResources();
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
@@ -367,6 +367,25 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void aGangStartsAgainAfterAStopOfAMemberThatNeverStarted() {
+		// given a VM that waits before it answers renewals, and misses the start of a
+		// member
+		this.fixture.vm("vm1", "r1");
+		FakeVm cutOff = this.fixture.vm("vm2", "r1");
+		cutOff.renewWaitMs = 1_500;
+		this.fixture.advanceTime(2_000);
+		cutOff.unreachable = true;
+		this.fixture.submit("gang", "normal",
+				SchedulerFixture.gang(2, new Resources(52_000, 210_000, 8), 1_000, false));
+		this.fixture.advanceTime(2_500);
+		// when it is back, and confirms the stop each time that it is repeated
+		cutOff.unreachable = false;
+		this.fixture.advanceTime(8_000);
+		// then
+		assertThat(this.fixture.phase("gang")).isEqualTo("COMPLETED");
+	}
+
 	@Test
 	void nothingStartsAndNoLeaseIsExtendedWhileLeadershipIsInDoubt() {
 		// given a running task, and one that waits
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -32,6 +32,9 @@
 
 	long boot = 1;
 
+	/** How long the VM waits before it answers a renewal, in milliseconds. */
+	long renewWaitMs;
+
 	/** How many times its estimate a task takes here. */
 	long slowness = 1;
 
@@ -61,6 +64,8 @@
 	/** When runs that were told to stop will have stopped. */
 	private final Map<TaskId, Long> stopsAt = new HashMap<>();
 
+	private final List<DelayedRenewal> delayedRenewals = new ArrayList<>();
+
 	private final Map<TaskId, Long> highestEndedRuns = new HashMap<>();
 
 	private final List<DelayedStart> delayedStarts = new ArrayList<>();
@@ -118,6 +123,11 @@
 			.toList();
 		this.delayedStarts.removeAll(due);
 		due.forEach((delayed) -> execute(delayed.command(), delayed.token()));
+		List<DelayedRenewal> answers = this.delayedRenewals.stream()
+			.filter((delayed) -> delayed.at() <= this.fixture.now)
+			.toList();
+		this.delayedRenewals.removeAll(answers);
+		answers.forEach((delayed) -> answerRenewal(delayed.command(), delayed.token()));
 	}
 
 	private StartAnswer execute(Effect.Start command, long token) {
@@ -176,6 +186,15 @@
 	}
 
 	void renew(Effect.Renew command, long token) {
+		if (this.renewWaitMs > 0 && !this.unreachable) {
+			this.delayedRenewals.add(new DelayedRenewal(this.fixture.now + this.renewWaitMs, command, token));
+		}
+		else {
+			answerRenewal(command, token);
+		}
+	}
+
+	private void answerRenewal(Effect.Renew command, long token) {
 		if (this.unreachable || this.refusingConnections || token < this.highestToken) {
 			this.fixture.scheduler.renewalUnanswered(this.id, this.refusingConnections, this.fixture.moment());
 			return;
@@ -332,6 +351,16 @@
 		return new VmAnswer(this.boot, this.fixture.now, list, this.ended);
 	}
 
+	/**
+	 * A renewal that is answered later.
+	 *
+	 * @param at when it is answered, in milliseconds of virtual time
+	 * @param command the command
+	 * @param token the fencing token of the coordinator that issued it
+	 */
+	private record DelayedRenewal(long at, Effect.Renew command, long token) {
+	}
+
 	/**
 	 * A start command that takes effect later.
 	 *
