Leave an unexpected error of a round to the election

Seen when reading the diff: a round that failed ended the term, but the process was a candidate again at once, so a lasting error would have gone round ten times a second. The election's own boundary waits a second first.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -103,7 +103,8 @@
 	}
 
 	/**
-	 * Loads the stored jobs and then decides round by round until the term has ended.
+	 * Loads the stored jobs and then decides round by round until the term has ended. An
+	 * unexpected error ends the term; {@link Election} logs it and lets others go first.
 	 */
 	void run() {
 		PrefixWatcher work = new PrefixWatcher(this.dependencies.store(), StoreKeys.WORK, WATCH_TIMEOUT_MS, 0,
@@ -116,9 +117,7 @@
 		Thread.ofVirtual().name("work-feed").start(() -> work.follow(() -> !this.term.ended()));
 		Thread.ofVirtual().name("vm-feed").start(() -> vms.follow(() -> !this.term.ended()));
 		while (!this.term.ended()) {
-			if (!ErrorBoundary.run("decide a round", this::runRound)) {
-				this.term.end();
-			}
+			runRound();
 		}
 	}
 
