Log that another instance has taken the place of a VM, with the runs that were on it

Observability of the incident of tasks that crash their VMs; no decision changes. The logs could not tell a VM that crashed from one that is silent: an answer of another instance (421) and a later registration of the same address were treated like a refused connection. They are told apart now (VmAbsence), and one line a VM lists the runs on it and how old they were. ClusterScheduler*Tests, EvacuationTests, CoordinatorTests, ArchitectureTests pass.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -34,6 +34,7 @@
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAbsence;
 import org.citronrelay.internal.schedule.VmAnswer;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
@@ -241,7 +242,7 @@
 					.addKeyValue("vm", renewal.vm())
 					.addKeyValue("reason", noAnswer.reason())
 					.log("A VM did not answer a lease renewal.");
-				this.scheduler.renewalUnanswered(renewal.vm(), noAnswer.absent(), now);
+				this.scheduler.renewalUnanswered(renewal.vm(), noAnswer.absence(), now);
 			});
 	}
 
@@ -288,7 +289,7 @@
 	private void renew(Effect.Renew renew, long token) {
 		Either<NoAnswer, VmAnswer> answer = ErrorBoundary.call("renew the lease of VM " + renew.vm().id(),
 				() -> this.dependencies.workerClient().renew(renew, token),
-				(error) -> Either.left(new NoAnswer("the answer could not be read: " + error, false)));
+				(error) -> Either.left(new NoAnswer("the answer could not be read: " + error, VmAbsence.UNKNOWN)));
 		enqueue(new RenewalEnded(renew.vm().id(), answer));
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -118,6 +118,8 @@
 	 * Applies the registration of a VM. Runs of its earlier boots are lost.
 	 */
 	public void vmRegistered(VmRegistration registration, Moment now) {
+		this.vms.supersededBy(registration)
+			.forEach((vm) -> noteReplaced(vm, registration.id() + " has registered its address", now));
 		this.vms.registered(registration, now)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
 	}
@@ -148,12 +150,14 @@
 
 	/**
 	 * Records that a renewal was not answered.
-	 * @param absent whether the host at the VM's address refused the connection or runs
-	 * another instance
+	 * @param absence what the failure says about whether the VM still exists
 	 */
-	public void renewalUnanswered(String vm, boolean absent, Moment now) {
+	public void renewalUnanswered(String vm, VmAbsence absence, Moment now) {
 		this.vms.renewalUnanswered(vm, now);
-		this.vms.runsEndedByShutdown(vm, absent)
+		if (absence == VmAbsence.REPLACED) {
+			noteReplaced(this.vms.find(vm), "another instance answered at its address", now);
+		}
+		this.vms.runsEndedByShutdown(vm, absence)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has shut down"));
 	}
 
@@ -302,6 +306,17 @@
 		return new Statistics(phases, placed, this.vms.all().size(), this.lifecycle.wastedCoreSeconds());
 	}
 
+	private void noteReplaced(VmState vm, String evidence, Moment now) {
+		if (vm == null || vm.replaced) {
+			return;
+		}
+		vm.replaced = true;
+		this.outbox.note("", "VM replaced by another instance",
+				vm.id() + ": " + evidence + ", " + (now.monotonicMs() - vm.answeredAt) + " ms after its last answer, "
+						+ (vm.registration.draining() ? "after it announced its shutdown" : "without an announcement")
+						+ "; runs: " + vm.describeRuns(now));
+	}
+
 	private TaskState task(TaskId id) {
 		JobState job = this.jobs.get(id.job());
 		if (job == null || id.step() >= job.spec.steps().size() || id.occurrence() >= job.spec.repeat().occurrences()) {
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -77,6 +77,18 @@
 		return lost;
 	}
 
+	/**
+	 * Returns the VMs whose address a later instance with another id has registered.
+	 */
+	List<VmState> supersededBy(VmRegistration registration) {
+		return this.vms.values()
+			.stream()
+			.filter((vm) -> !vm.id().equals(registration.id())
+					&& vm.registration.address().equals(registration.address())
+					&& vm.registration.boot() < registration.boot())
+			.toList();
+	}
+
 	/**
 	 * Applies the boot that a VM reports. Returns the runs of earlier boots if the boot
 	 * is new, nothing otherwise.
@@ -122,8 +134,9 @@
 	 * network partition the registration of a VM may lapse, and connections to it may be
 	 * refused, while its runs continue.
 	 */
-	List<TaskState> runsEndedByShutdown(String id, boolean absent) {
+	List<TaskState> runsEndedByShutdown(String id, VmAbsence absence) {
 		VmState vm = this.vms.get(id);
+		boolean absent = absence != VmAbsence.UNKNOWN;
 		return (vm != null && absent && vm.removedItself && !vm.registered) ? List.copyOf(vm.tasks) : List.of();
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.VmRegistration;
@@ -75,6 +76,9 @@
 	 */
 	boolean removedItself;
 
+	/** Whether another instance runs at the VM's address, so that the VM is gone. */
+	boolean replaced;
+
 	/** Whether the last renewal was not answered; the lease is then not extended. */
 	boolean unanswered;
 
@@ -128,6 +132,16 @@
 				+ LAPSE_MARGIN_MS;
 	}
 
+	/**
+	 * Describes the recorded runs and how long ago they were placed, for logs.
+	 */
+	String describeRuns(Moment now) {
+		return this.tasks.stream()
+			.map((task) -> task.id() + " run " + task.run + " " + task.phase + " for "
+					+ (now.monotonicMs() - task.placedAt) + " ms")
+			.collect(Collectors.joining(", ", "[", "]"));
+	}
+
 	/**
 	 * Returns the highest end number that may be acknowledged: it and all before it are
 	 * stored.
--- a/src/main/java/org/citronrelay/platform/PlatformWorkerClient.java
+++ b/src/main/java/org/citronrelay/platform/PlatformWorkerClient.java
@@ -18,6 +18,7 @@
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAbsence;
 import org.citronrelay.internal.schedule.VmAnswer;
 
 /**
@@ -82,9 +83,10 @@
 		return switch (exchange(command.vm(), "/citronrelay/hold", body, command.waitMs() + TIMEOUT_MS)) {
 			case Exchange.Answered answered when answered.reply().status() == OK -> vmAnswer(answered.reply());
 			case Exchange.Answered answered -> Either.left(new NoAnswer("status " + answered.reply().status(),
-					answered.reply().status() == MISDIRECTED_REQUEST));
-			case Exchange.NotSent notSent -> Either.left(new NoAnswer(notSent.reason(), notSent.refused()));
-			case Exchange.Broken broken -> Either.left(new NoAnswer(broken.reason(), false));
+					(answered.reply().status() == MISDIRECTED_REQUEST) ? VmAbsence.REPLACED : VmAbsence.UNKNOWN));
+			case Exchange.NotSent notSent ->
+				Either.left(new NoAnswer(notSent.reason(), notSent.refused() ? VmAbsence.REFUSED : VmAbsence.UNKNOWN));
+			case Exchange.Broken broken -> Either.left(new NoAnswer(broken.reason(), VmAbsence.UNKNOWN));
 		};
 	}
 
@@ -119,7 +121,7 @@
 	private static Either<NoAnswer, VmAnswer> vmAnswer(HttpReply reply) {
 		JsonNode root = reply.json();
 		if (!root.path("born").canConvertToLong() || !root.path("clockMs").canConvertToLong()) {
-			return Either.left(new NoAnswer("the answer lacks born or clockMs", false));
+			return Either.left(new NoAnswer("the answer lacks born or clockMs", VmAbsence.UNKNOWN));
 		}
 		List<VmAnswer.Running> running = new ArrayList<>();
 		for (JsonNode row : root.path("running")) {
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -25,6 +25,7 @@
 import org.citronrelay.internal.schedule.JobPhase;
 import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAbsence;
 import org.citronrelay.internal.schedule.VmAnswer;
 import org.citronrelay.internal.settings.LogSettings;
 import org.citronrelay.internal.time.Ticker;
@@ -229,7 +230,7 @@
 
 		@Override
 		public Either<NoAnswer, VmAnswer> renew(Effect.Renew command, long token) {
-			return Either.left(new NoAnswer("there is no VM", false));
+			return Either.left(new NoAnswer("there is no VM", VmAbsence.UNKNOWN));
 		}
 
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -26,6 +26,9 @@
 
 	final String rack;
 
+	/** The address; a VM that takes the place of another one has the same. */
+	Address address;
+
 	final Map<TaskId, Run> running = new LinkedHashMap<>();
 
 	final List<VmAnswer.Ended> ended = new ArrayList<>();
@@ -86,10 +89,11 @@
 		this.fixture = fixture;
 		this.id = id;
 		this.rack = rack;
+		this.address = new Address("10.0.0.1", 1 + fixture.vms.size());
 	}
 
 	VmRegistration registration() {
-		return new VmRegistration(this.id, "pool", new Address("10.0.0.1", 1), "a", this.boot,
+		return new VmRegistration(this.id, "pool", this.address, "a", this.boot,
 				this.remainingMs != VmRegistration.UNKNOWN, this.remainingMs, SchedulerFixture.CAPACITY, this.rack,
 				Set.of("a", this.rack));
 	}
@@ -196,7 +200,8 @@
 
 	private void answerRenewal(Effect.Renew command, long token) {
 		if (this.unreachable || this.refusingConnections || token < this.highestToken) {
-			this.fixture.scheduler.renewalUnanswered(this.id, this.refusingConnections, this.fixture.moment());
+			this.fixture.scheduler.renewalUnanswered(this.id,
+					this.refusingConnections ? VmAbsence.REFUSED : VmAbsence.UNKNOWN, this.fixture.moment());
 			return;
 		}
 		this.highestToken = token;
@@ -213,7 +218,7 @@
 		}
 		this.ended.removeIf((end) -> end.number() <= command.acknowledge());
 		if (this.losingAnswers) {
-			this.fixture.scheduler.renewalUnanswered(this.id, false, this.fixture.moment());
+			this.fixture.scheduler.renewalUnanswered(this.id, VmAbsence.UNKNOWN, this.fixture.moment());
 			return;
 		}
 		this.fixture.scheduler.renewalAnswered(this.id, answer(), this.fixture.moment());
