--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -0,0 +1,175 @@
+package org.citronrelay.internal.schedule;
+
+import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.batch.Step;
+import org.citronrelay.internal.batch.TaskId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of VMs that crash, mostly because of a task that they have just started.
+ */
+class VmCrashTests {
+
+	private static final Resources WHOLE_VM = new Resources(52_000, 210_000, 8);
+
+	private static final TaskId CRASHING = new TaskId("crashing", 0, 0, 0);
+
+	private final SchedulerFixture fixture = new SchedulerFixture();
+
+	@BeforeEach
+	void registerVms() {
+		for (int number = 0; number < 6; number++) {
+			this.fixture.vm("vm" + number, "r" + number / 3);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1_000, 6_000 })
+	void aTaskThatCrashesEachVmThatStartsItIsGivenUp(long crashDelayMs) {
+		// given
+		this.fixture.crashDelayMs = crashDelayMs;
+		this.fixture.submit("other", "bulk", SchedulerFixture.step(9, SchedulerFixture.SMALL, 8_000));
+		this.fixture.advanceTime(500);
+		// when
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 8_000));
+		this.fixture.advanceTime(150_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("other")).isEqualTo("COMPLETED");
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void runsThatWereLostInACrashStartAgainOnceAnotherInstanceRunsThere(boolean sameId) {
+		// given
+		this.fixture.crashedVmsKeepTheirIds = sameId;
+		this.fixture.submit("job", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 20_000));
+		this.fixture.advanceTime(3_000);
+		// when
+		vmOf("job").crash();
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 500);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
+	@Test
+	void tasksThatRanBesideACrashingOneAreSpreadAndCompleteWhileItIsGivenUp() {
+		// given
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.submit("innocent", "normal", SchedulerFixture.step(6, SchedulerFixture.SMALL, 3_000));
+		// when
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.phase("innocent")).isEqualTo("COMPLETED");
+		assertThat(this.fixture.startsOf("innocent")).as("each is lost once, with the crash that they shared")
+			.isEqualTo(12);
+	}
+
+	@Test
+	void aTaskOnVmsThatCrashForOtherReasonsIsNotGivenUp() {
+		// given
+		this.fixture.submit("innocent", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 4_000));
+		this.fixture.advanceTime(3_000);
+		// when
+		vmOf("innocent").crash();
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 3_000);
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.phase("innocent")).isEqualTo("COMPLETED");
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 150, 1_000, 3_500, 7_000, 12_000 })
+	void theCrashesUnderATaskAreRememberedByTheNextCoordinator(long termMs) {
+		// given
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		// when
+		for (int term = 0; term < 250_000 / termMs; term++) {
+			this.fixture.advanceTime(termMs);
+			this.fixture.startNewCoordinator();
+		}
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+	}
+
+	@Test
+	void aTaskStartsNotAgainBeforeTheCrashUnderItIsStored() {
+		// given
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(150);
+		// when
+		this.fixture.refuseWrites = true;
+		this.fixture.advanceTime(20_000);
+		// then
+		assertThat(this.fixture.startsOf("crashing")).isEqualTo(1);
+		this.fixture.refuseWrites = false;
+		this.fixture.advanceTime(60_000);
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+	}
+
+	@Test
+	void aStartThatTakesEffectLateAndCrashesItsVmCounts() {
+		// given
+		this.fixture.vms.values().forEach((vm) -> vm.startDelayMs = 5_000);
+		// when
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(200_000);
+		// then
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+	}
+
+	@Test
+	void aGangIsGivenUpBecauseOfOneMemberThatCrashesItsVms() {
+		// given
+		this.fixture.submit("other", "bulk", SchedulerFixture.step(2, SchedulerFixture.SMALL, 20_000));
+		// when
+		submitCrashing(SchedulerFixture.gang(3, WHOLE_VM, 3_000, false));
+		this.fixture.advanceTime(120_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("other")).isEqualTo("COMPLETED");
+	}
+
+	@Test
+	void aVmThatDoesNotAnswerGetsNoNewTasks() {
+		// given
+		this.fixture.submit("first", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 20_000));
+		this.fixture.advanceTime(1_000);
+		// when
+		FakeVm crashed = vmOf("first");
+		crashed.crash();
+		this.fixture.advanceTime(1_000);
+		this.fixture.submit("second", "bulk", SchedulerFixture.step(6, SchedulerFixture.SMALL, 1_000));
+		this.fixture.advanceTime(2_000);
+		// then
+		assertThat(this.fixture.phase("second")).isEqualTo("COMPLETED");
+	}
+
+	private void submitCrashing(Step step) {
+		this.fixture.crashingTasks.add(CRASHING);
+		this.fixture.submit(CRASHING.job(), "normal", step);
+	}
+
+	private FakeVm vmOf(String job) {
+		return this.fixture.vms.values()
+			.stream()
+			.filter((vm) -> vm.running.keySet().stream().anyMatch((task) -> task.job().equals(job)))
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
