End the runs of a VM as soon as another instance has its address; place nothing on a VM that does not answer

Callers saw jobs stand still for 10 s after a VM had crashed. Cause: a crashed VM comes back under another id, so its boot number never changes, and only the lapse of the lease ended its runs, though 421 or a later registration of the address came after 3.4 s. Two instances cannot have one address, so either proves that the runs are over. A cut, silence or a refused connection prove nothing and still wait for the lease. A VM that did not answer the last renewal gets no task.

--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -119,7 +119,7 @@
 	 */
 	public void vmRegistered(VmRegistration registration, Moment now) {
 		this.vms.supersededBy(registration)
-			.forEach((vm) -> noteReplaced(vm, registration.id() + " has registered its address", now));
+			.forEach((vm) -> endReplaced(vm, registration.id() + " has registered its address", now));
 		this.vms.registered(registration, now)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
 	}
@@ -155,7 +155,7 @@
 	public void renewalUnanswered(String vm, VmAbsence absence, Moment now) {
 		this.vms.renewalUnanswered(vm, now);
 		if (absence == VmAbsence.REPLACED) {
-			noteReplaced(this.vms.find(vm), "another instance answered at its address", now);
+			endReplaced(this.vms.find(vm), "another instance answered at its address", now);
 		}
 		this.vms.runsEndedByShutdown(vm, absence)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has shut down"));
@@ -306,7 +306,11 @@
 		return new Statistics(phases, placed, this.vms.all().size(), this.lifecycle.wastedCoreSeconds());
 	}
 
-	private void noteReplaced(VmState vm, String evidence, Moment now) {
+	/**
+	 * Ends all runs of a VM at whose address another instance was seen. Two instances
+	 * cannot have one address, so the VM and its runs are gone.
+	 */
+	private void endReplaced(VmState vm, String evidence, Moment now) {
 		if (vm == null || vm.replaced) {
 			return;
 		}
@@ -315,6 +319,8 @@
 				vm.id() + ": " + evidence + ", " + (now.monotonicMs() - vm.answeredAt) + " ms after its last answer, "
 						+ (vm.registration.draining() ? "after it announced its shutdown" : "without an announcement")
 						+ "; runs: " + vm.describeRuns(now));
+		List.copyOf(vm.tasks)
+			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has been replaced"));
 	}
 
 	private TaskState task(TaskId id) {
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -103,6 +103,7 @@
 				previous.rack(), previous.labels());
 		vm.orphanedRuns.clear();
 		vm.unstoredEnds.clear();
+		vm.replaced = false;
 		vm.handledEnd = 0;
 		vm.acknowledgedEnd = 0;
 		vm.fenced = false;
@@ -216,8 +217,8 @@
 	 */
 	Optional<Effect> dueRenewal(VmState vm, Moment now, boolean leadershipConfirmed) {
 		boolean needed = !vm.tasks.isEmpty() || !vm.orphanedRuns.isEmpty()
-				|| vm.acknowledgeableEnd() > vm.acknowledgedEnd || (!vm.fenced && vm.registered);
-		if (!needed || vm.renewalPending || now.monotonicMs() < vm.nextRenewalAt
+				|| vm.acknowledgeableEnd() > vm.acknowledgedEnd || ((!vm.fenced || vm.unanswered) && vm.registered);
+		if (!needed || vm.replaced || vm.renewalPending || now.monotonicMs() < vm.nextRenewalAt
 				|| vm.registration.address().equals(UNKNOWN_ADDRESS)) {
 			return Optional.empty();
 		}
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -79,7 +79,10 @@
 	/** Whether another instance runs at the VM's address, so that the VM is gone. */
 	boolean replaced;
 
-	/** Whether the last renewal was not answered; the lease is then not extended. */
+	/**
+	 * Whether the last renewal was not answered. The lease is then not extended, and no
+	 * task is placed here.
+	 */
 	boolean unanswered;
 
 	/** Whether a renewal was sent and its outcome is not known yet. */
@@ -120,7 +123,8 @@
 	 * Whether new tasks may be placed here.
 	 */
 	boolean acceptsTasks(Moment now) {
-		return this.registered && !this.registration.draining() && this.quarantinedUntil <= now.monotonicMs();
+		return this.registered && !this.replaced && !this.unanswered && !this.registration.draining()
+				&& this.quarantinedUntil <= now.monotonicMs();
 	}
 
 	/**
