Count the crashes of VMs under a task, start suspects under guard, and give up a task that is proven guilty

Cause: a run that is lost with its VM was never counted, and best fit put all lost runs on one VM again, culprit included. Class: work that takes its executor down, retried on the next executor without a limit that outlives the executor.

Each crash is recorded with the runs that were on the VM, their age, and whether another run may have been the cause. A suspect starts guarded: beside proven runs only, on the VM with the fewest, and nothing starts beside it until it has lasted two seconds. A task is given up after two crashes right after its start with no other suspect, after four at one age, or after five. VMs that announced their shutdown do not crash; lapsed runs are suspected only once the VM is known to be gone. The record is written with the progress, so before the next start; the address of a run is stored too, so that the next coordinator knows a replaced VM. Metrics citronrelay.vm.crashes and citronrelay.jobs.given.up by team.

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
@@ -1,6 +1,7 @@
 package org.citronrelay.internal.cluster;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -58,6 +59,20 @@
 		this.registry.counter("citronrelay.renewals", "answered", Boolean.toString(answered)).increment();
 	}
 
+	/**
+	 * Counts a crash of a VM, once for each team with a task that may have caused it.
+	 */
+	void recordVmCrash(Set<String> teams) {
+		teams.forEach((team) -> this.registry.counter("citronrelay.vm.crashes", "team", team).increment());
+	}
+
+	/**
+	 * Counts a job that failed because VMs crash under one of its tasks.
+	 */
+	void recordGivenUp(String team) {
+		this.registry.counter("citronrelay.jobs.given.up", "team", team).increment();
+	}
+
 	/**
 	 * Records the start of a term as coordinator.
 	 * @param loadMs how long it took to load the stored jobs, in milliseconds
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -263,6 +263,8 @@
 			case Effect.Start start -> this.dependencies.executor().execute(() -> start(start, token));
 			case Effect.Stop stop -> this.dependencies.executor().execute(() -> stop(stop, token));
 			case Effect.Renew renew -> this.dependencies.executor().execute(() -> renew(renew, token));
+			case Effect.VmCrashed crashed -> vmCrashed(crashed, token);
+			case Effect.GivenUp givenUp -> givenUp(givenUp, token);
 			case Effect.Note note -> Part.JOB.logger()
 				.atInfo()
 				.addKeyValue("job", note.job())
@@ -272,6 +274,28 @@
 		}
 	}
 
+	private void vmCrashed(Effect.VmCrashed crashed, long token) {
+		this.dependencies.metrics().recordVmCrash(crashed.teams());
+		Part.WORKER.logger()
+			.atWarn()
+			.addKeyValue("vm", crashed.vm())
+			.addKeyValue("token", token)
+			.addKeyValue("suspectedTeams", crashed.teams())
+			.addKeyValue("reason", crashed.reason())
+			.log("A VM has crashed.");
+	}
+
+	private void givenUp(Effect.GivenUp givenUp, long token) {
+		this.dependencies.metrics().recordGivenUp(givenUp.team());
+		Part.JOB.logger()
+			.atWarn()
+			.addKeyValue("job", givenUp.job())
+			.addKeyValue("token", token)
+			.addKeyValue("team", givenUp.team())
+			.addKeyValue("reason", givenUp.reason())
+			.log("Job failed: VMs crash under one of its tasks.");
+	}
+
 	private void start(Effect.Start start, long token) {
 		StartAnswer answer = ErrorBoundary.call("start " + start.task() + " on VM " + start.vm().id(),
 				() -> this.dependencies.workerClient().start(start, token), (error) -> StartAnswer.UNKNOWN);
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -36,6 +36,8 @@
 
 	private final TaskLifecycle lifecycle;
 
+	private final LostInstanceHandler lostInstances;
+
 	private final PlacementRound placement;
 
 	private final Outbox outbox = new Outbox();
@@ -50,6 +52,7 @@
 	public ClusterScheduler(ScheduleTimings timings, Moment now) {
 		this.vms = new VmRegistry(timings, now);
 		this.lifecycle = new TaskLifecycle(this.vms, this.outbox, timings);
+		this.lostInstances = new LostInstanceHandler(this.lifecycle, this.outbox);
 		this.placement = new PlacementRound(this.vms, this.lifecycle, this.outbox);
 	}
 
@@ -118,10 +121,7 @@
 	 * Applies the registration of a VM. Runs of its earlier boots are lost.
 	 */
 	public void vmRegistered(VmRegistration registration, Moment now) {
-		this.vms.supersededBy(registration)
-			.forEach((vm) -> endReplaced(vm, registration.id() + " has registered its address", now));
-		this.vms.registered(registration, now)
-			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
+		this.vms.registered(registration, now).forEach((lost) -> this.lostInstances.handle(lost, now));
 	}
 
 	/**
@@ -140,8 +140,7 @@
 		if (state == null) {
 			return;
 		}
-		this.vms.restarted(state, answer.boot())
-			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has restarted"));
+		this.vms.restarted(state, answer.boot(), now).ifPresent((lost) -> this.lostInstances.handle(lost, now));
 		if (answer.boot() == state.registration.boot()) {
 			this.vms.renewalAnswered(state, answer.clockMs(), now);
 			new VmAnswerHandler(this.lifecycle, this.outbox, this::task).handle(state, answer, now);
@@ -154,8 +153,10 @@
 	 */
 	public void renewalUnanswered(String vm, VmAbsence absence, Moment now) {
 		this.vms.renewalUnanswered(vm, now);
-		if (absence == VmAbsence.REPLACED) {
-			endReplaced(this.vms.find(vm), "another instance answered at its address", now);
+		VmState state = this.vms.find(vm);
+		if (state != null && absence == VmAbsence.REPLACED) {
+			this.vms.replaced(state, "another instance answered at its address", now)
+				.ifPresent((lost) -> this.lostInstances.handle(lost, now));
 		}
 		this.vms.runsEndedByShutdown(vm, absence)
 			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has shut down"));
@@ -189,14 +190,13 @@
 	 * then are leases extended and runs started
 	 */
 	public void advance(Moment now, boolean leadershipConfirmed) {
-		this.vms.removeUnregistered();
+		this.vms.removeUnregistered(now);
 		for (VmState vm : this.vms.all()) {
 			if (!vm.tasks.isEmpty() && this.vms.leaseLapsed(vm, now)) {
-				vm.tasks.stream()
-					.filter(TaskState::mayHaveStarted)
-					.toList()
-					.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.LEASE_LAPSED,
-							"the lease of the VM has lapsed"));
+				List<TaskState> lapsed = vm.tasks.stream().filter(TaskState::mayHaveStarted).toList();
+				vm.rememberLapsed(lapsed);
+				lapsed.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.LEASE_LAPSED,
+						"the lease of the VM has lapsed"));
 			}
 			this.lifecycle.stopStalledRuns(vm, now);
 			this.lifecycle.evacuate(vm, now);
@@ -306,23 +306,6 @@
 		return new Statistics(phases, placed, this.vms.all().size(), this.lifecycle.wastedCoreSeconds());
 	}
 
-	/**
-	 * Ends all runs of a VM at whose address another instance was seen. Two instances
-	 * cannot have one address, so the VM and its runs are gone.
-	 */
-	private void endReplaced(VmState vm, String evidence, Moment now) {
-		if (vm == null || vm.replaced) {
-			return;
-		}
-		vm.replaced = true;
-		this.outbox.note("", "VM replaced by another instance",
-				vm.id() + ": " + evidence + ", " + (now.monotonicMs() - vm.answeredAt) + " ms after its last answer, "
-						+ (vm.registration.draining() ? "after it announced its shutdown" : "without an announcement")
-						+ "; runs: " + vm.describeRuns(now));
-		List.copyOf(vm.tasks)
-			.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has been replaced"));
-	}
-
 	private TaskState task(TaskId id) {
 		JobState job = this.jobs.get(id.job());
 		if (job == null || id.step() >= job.spec.steps().size() || id.occurrence() >= job.spec.repeat().occurrences()) {
--- a/src/main/java/org/citronrelay/internal/schedule/Effect.java
+++ b/src/main/java/org/citronrelay/internal/schedule/Effect.java
@@ -1,5 +1,7 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.Set;
+
 import org.citronrelay.internal.batch.TaskId;
 import org.citronrelay.internal.batch.VmRegistration;
 
@@ -45,6 +47,31 @@
 	record Renew(VmRegistration vm, long leaseUntil, long acknowledge, long waitMs) implements Effect {
 	}
 
+	/**
+	 * Reports a crash of a VM.
+	 *
+	 * @param vm the VM
+	 * @param teams the teams of the tasks that may have caused it; empty if it ran none
+	 * @param reason how the crash became known, and the runs that were lost
+	 */
+	record VmCrashed(String vm, Set<String> teams, String reason) implements Effect {
+
+		public VmCrashed {
+			teams = Set.copyOf(teams);
+		}
+
+	}
+
+	/**
+	 * Reports that a job has failed because VMs crash under one of its tasks.
+	 *
+	 * @param job the job's id
+	 * @param team its team
+	 * @param reason the task and the crashes
+	 */
+	record GivenUp(String job, String team, String reason) implements Effect {
+	}
+
 	/**
 	 * Logs a decision with its inputs, for the analysis of failures.
 	 *
--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -104,13 +104,17 @@
 		}
 		List<TaskState> waiting = step.waitingTasks();
 		waiting.forEach((task) -> context.placer().clearAvoidedIfNoneAllowed(step, task));
+		if (!step.spec.gang() && waiting.stream().anyMatch(TaskState::guarded)) {
+			placeGuarded(step, waiting, context);
+			waiting = step.waitingTasks().stream().filter((task) -> !task.guarded()).toList();
+		}
 		List<TaskState> unplaced = place(step, waiting, context.placer().place(step, waiting, FREE), context);
 		boolean anyVm = acceptsAnyVm(urgency, context);
 		if (!unplaced.isEmpty() && anyVm) {
 			unplaced = place(step, unplaced, context.placer().placeAnywhere(step, unplaced, FREE), context);
 		}
 		if (unplaced.isEmpty()) {
-			step.waitingSince = 0;
+			step.waitingSince = step.waitingTasks().isEmpty() ? 0 : step.waitingSince;
 		}
 		else if (!secureCapacity(urgency, unplaced, anyVm, context)) {
 			context.reservations()
@@ -119,6 +123,18 @@
 		}
 	}
 
+	/**
+	 * Places guarded tasks one by one, each where it takes the fewest others along. They
+	 * preempt nothing and reserve nothing.
+	 */
+	private void placeGuarded(StepState step, List<TaskState> waiting, Context context) {
+		for (TaskState task : waiting) {
+			if (task.guarded()) {
+				place(step, List.of(task), context.placer().placeAnywhere(step, List.of(task), FREE), context);
+			}
+		}
+	}
+
 	/**
 	 * Whether a step may use VMs on which it runs slower: its job has expired, or it has
 	 * waited long enough for its preferred VMs and is within its guarantee or most of the
@@ -141,6 +157,7 @@
 			chosen.get(index).allocate(task.needs());
 			this.lifecycle.place(task, chosen.get(index).vm, step.spec.gang() ? run : step.nextRunNumber(task),
 					context.now());
+			chosen.get(index).placed(task);
 		}
 		if (!chosen.isEmpty()) {
 			context.placer().discardUsage();
--- a/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
@@ -1,9 +1,13 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.List;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.json.Json;
+import org.citronrelay.internal.schedule.VmCrash.Evidence;
 
 /**
  * Encodes the progress of a job as a JSON document for the store and decodes it. Steps of
@@ -44,16 +48,31 @@
 		node.put("occurrence", step.occurrence).put("number", step.number);
 		ArrayNode tasks = node.putArray("tasks");
 		for (TaskState task : step.tasks) {
-			tasks.addArray()
+			ArrayNode row = tasks.addArray()
 				.add(task.phase.name().charAt(0) + "")
 				.add(task.run)
 				.add(task.failures)
 				.add(task.vm)
 				.add(task.boot)
 				.add(task.checkpoint);
+			boolean located = task.phase.occupiesCapacity() && task.address != null;
+			if (located || !task.crashes.isEmpty()) {
+				row.add(located ? task.address.toString() : "");
+			}
+			if (!task.crashes.isEmpty()) {
+				encode(row.addArray(), task.crashes);
+			}
 		}
 	}
 
+	private static void encode(ArrayNode rows, List<VmCrash> crashes) {
+		crashes.forEach((crash) -> rows.addArray()
+			.add(crash.vm())
+			.add(crash.atWallMs())
+			.add(crash.ageMs())
+			.add(crash.evidence().name().charAt(0) + ""));
+	}
+
 	/**
 	 * Restores the progress of a job from a document. Runs that were placed or running
 	 * count as placed.
@@ -87,8 +106,19 @@
 		task.vm = node.path(3).asText();
 		task.boot = node.path(4).asLong();
 		task.checkpoint = node.path(5).asText();
+		task.address = Address.parse(node.path(6).asText()).getOrNull();
+		node.path(7).forEach((row) -> task.crashes.add(decodeCrash(row)));
 		task.recorded = true;
 		task.inherited = task.phase.occupiesCapacity();
 	}
 
+	private static VmCrash decodeCrash(JsonNode row) {
+		Evidence evidence = switch (row.path(3).asText()) {
+			case "B" -> Evidence.BYSTANDER;
+			case "O" -> Evidence.ONLY_SUSPECT;
+			default -> Evidence.SUSPECT;
+		};
+		return new VmCrash(row.path(0).asText(), row.path(1).asLong(), row.path(2).asLong(), evidence);
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
+++ b/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
@@ -25,7 +25,9 @@
 	FAILED,
 	/** The lease of the VM lapsed. */
 	LEASE_LAPSED,
-	/** The VM restarted, shut down, or never started the run. */
+	/** The VM crashed. */
+	VM_CRASHED,
+	/** The VM shut down, or never started the run. */
 	VM_LOST,
 	/** The VM ended the run, and the coordinator did not ask for it. */
 	UNEXPECTED
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -57,6 +57,8 @@
 		task.placedAt = now.monotonicMs();
 		task.checkpointedAt = now.monotonicMs();
 		task.progressedAt = now.monotonicMs();
+		task.startedAt = 0;
+		task.address = vm.registration.address();
 		task.percent = 0;
 		task.commandIssuedAt = 0;
 		task.cannotStartSince = 0;
@@ -145,6 +147,7 @@
 		task.inherited = false;
 		long elapsedMs = task.step.spec.estimateMs() * running.percent() / ALL_PERCENT;
 		task.placedAt = now.monotonicMs() - elapsedMs;
+		task.startedAt = task.placedAt;
 		task.checkpointedAt = running.checkpoint().isEmpty() ? task.placedAt : now.monotonicMs();
 	}
 
@@ -314,6 +317,7 @@
 			return;
 		}
 		task.phase = TaskPhase.RUNNING;
+		task.startedAt = now.monotonicMs();
 		task.progressedAt = now.monotonicMs();
 		JobState job = task.step.job;
 		if (job.phase == JobPhase.QUEUED) {
--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -12,10 +12,14 @@
 
 /**
  * Chooses VMs for the tasks of a step by best fit: it fills the fullest VMs first, so
- * that whole VMs and whole racks stay free for gangs with large members.
+ * that whole VMs and whole racks stay free for gangs with large members. A guarded task
+ * gets the VM with the fewest runs, as these are lost if it crashes the VM.
  */
 final class TaskPlacer {
 
+	/** The largest sum of the free shares of a VM, one for each kind of resource. */
+	private static final int RESOURCE_KINDS = 3;
+
 	private final List<VmCapacity> vmCapacities;
 
 	private final Map<String, List<VmCapacity>> racks = new LinkedHashMap<>();
@@ -127,7 +131,7 @@
 		int limit = step.spec.limits().maxPerVm();
 		String label = step.spec.limits().label();
 		return vmCapacity.vm.registration.pool().equals(step.job.pool) && !task.avoidedVms.contains(vmCapacity.vm.id())
-				&& (limit == 0 || placedTasks < limit)
+				&& vmCapacity.admits(task) && (limit == 0 || placedTasks < limit)
 				&& (label.isEmpty() || vmCapacity.vm.registration.labels().contains(label));
 	}
 
@@ -143,7 +147,7 @@
 		Resources needs = step.spec.taskResources();
 		for (TaskState task : tasks) {
 			VmCapacity best = null;
-			double leastFree = Double.MAX_VALUE;
+			double leastRank = Double.MAX_VALUE;
 			for (VmCapacity vmCapacity : candidates) {
 				Resources free = left.getOrDefault(vmCapacity, available.apply(vmCapacity));
 				if (!needs.fits(free) || !allowed(step, task, vmCapacity,
@@ -151,8 +155,9 @@
 					continue;
 				}
 				double freeAfter = freeShares(free.minus(needs), vmCapacity.vm.registration.capacity());
-				if (freeAfter < leastFree) {
-					leastFree = freeAfter;
+				double rank = task.guarded() ? freeAfter + RESOURCE_KINDS * vmCapacity.vm.tasks.size() : freeAfter;
+				if (rank < leastRank) {
+					leastRank = rank;
 					best = vmCapacity;
 				}
 			}
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -1,10 +1,13 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.TaskId;
+import org.citronrelay.internal.http.Address;
 
 /**
  * One task as known to the coordinator. Owned by one {@link ClusterScheduler}.
@@ -38,6 +41,15 @@
 	 */
 	long placedAt;
 
+	/** When the run was first known to run, in monotonic milliseconds; 0 before. */
+	long startedAt;
+
+	/** The address of the VM of the newest run, null if unknown. */
+	Address address;
+
+	/** The crashes of VMs under runs of the task, oldest first. */
+	final List<VmCrash> crashes = new ArrayList<>();
+
 	/**
 	 * When a command for this run was last issued, in monotonic milliseconds; 0 if it is
 	 * due.
@@ -99,6 +111,28 @@
 		}
 	}
 
+	/**
+	 * Whether the run had outlasted its probation when its VM last answered.
+	 * @param answeredAt when the VM last answered, in monotonic milliseconds
+	 */
+	boolean provenAt(long answeredAt) {
+		return this.startedAt > 0 && answeredAt - this.startedAt >= CrashSuspicion.probationMs(this.crashes);
+	}
+
+	/**
+	 * Whether runs of the task are started under guard, as it may crash its VM.
+	 */
+	boolean guarded() {
+		return CrashSuspicion.guarded(this.crashes);
+	}
+
+	/**
+	 * Returns what crashes as one: the gang, or the task itself.
+	 */
+	Object unit() {
+		return this.step.spec.gang() ? this.step : this;
+	}
+
 	Resources needs() {
 		return this.step.spec.taskResources();
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
@@ -1,7 +1,9 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.citronrelay.internal.batch.Resources;
 
@@ -10,8 +12,22 @@
  */
 final class VmCapacity {
 
+	/**
+	 * How long a guarded task waits for a VM without other unproven runs, in
+	 * milliseconds.
+	 */
+	private static final long GUARD_PATIENCE_MS = 1_500;
+
 	final VmState vm;
 
+	private final long now;
+
+	/** The tasks and gangs with runs on probation. */
+	private final Set<Object> unproven = new HashSet<>();
+
+	/** The guarded one of them, null if there is none. */
+	private Object guarded;
+
 	/** The capacity that is free now. */
 	Resources free;
 
@@ -26,8 +42,14 @@
 	/** The runs that are not being stopped, by expected end; computed on first use. */
 	private List<ExpectedEnd> expectedEnds;
 
-	VmCapacity(VmState vm) {
+	/**
+	 * Creates the capacity of a VM.
+	 * @param now the current time in monotonic milliseconds
+	 */
+	VmCapacity(VmState vm, long now) {
 		this.vm = vm;
+		this.now = now;
+		vm.tasks.stream().filter((task) -> !task.provenAt(vm.answeredAt)).forEach(this::placed);
 		this.free = vm.free();
 		this.freeSoon = this.free;
 		for (TaskState task : vm.tasks) {
@@ -40,6 +62,28 @@
 		}
 	}
 
+	/**
+	 * Records a task that was placed here in this round.
+	 */
+	void placed(TaskState task) {
+		this.unproven.add(task.unit());
+		this.guarded = task.guarded() ? task.unit() : this.guarded;
+	}
+
+	/**
+	 * Whether a task may start here: not beside the guarded run of another one and, if it
+	 * is guarded itself, not beside unproven runs of others while it can wait for a
+	 * better VM.
+	 */
+	boolean admits(TaskState task) {
+		if (this.guarded != null) {
+			return this.guarded.equals(task.unit());
+		}
+		boolean alone = this.unproven.isEmpty() || this.unproven.equals(Set.of(task.unit()));
+		return alone || !task.guarded()
+				|| (task.step.waitingSince > 0 && this.now - task.step.waitingSince >= GUARD_PATIENCE_MS);
+	}
+
 	/**
 	 * Returns when the needed resources will be free if nothing else is placed here.
 	 * @param needs the needed resources
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCrash.java
@@ -0,0 +1,33 @@
+package org.citronrelay.internal.schedule;
+
+/**
+ * A crash of a VM under a run of a task.
+ *
+ * @param vm the id of the VM
+ * @param atWallMs when the crash was noticed, in milliseconds since 1970
+ * @param ageMs how old the run was, in milliseconds; {@link SuspectRun#UNKNOWN} if its
+ * start is unknown
+ * @param evidence what the crash says about the task
+ */
+record VmCrash(String vm, long atWallMs, long ageMs, Evidence evidence) {
+
+	@Override
+	public String toString() {
+		return this.vm + " at " + this.atWallMs + " after " + this.ageMs + " ms (" + this.evidence + ")";
+	}
+
+	/**
+	 * How strongly a crash speaks against a task. The first letter of its name is stored.
+	 */
+	enum Evidence {
+
+		/** Runs that had been started more recently are more likely the cause. */
+		BYSTANDER,
+		/** The task was one of several that may have caused the crash. */
+		SUSPECT,
+		/** No other task is likely to have caused the crash. */
+		ONLY_SUSPECT
+
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -40,6 +40,12 @@
 	 */
 	private static final long UNSTORED_END_RENEW_INTERVAL_MS = 500;
 
+	/**
+	 * How long lapsed runs of a VM that is not registered are remembered, in longest
+	 * leases since its last answer.
+	 */
+	private static final int LAPSED_RUN_MEMORY_LEASES = 6;
+
 	private final Map<String, VmState> vms = new LinkedHashMap<>();
 
 	private final ScheduleTimings timings;
@@ -60,15 +66,22 @@
 	}
 
 	/**
-	 * Applies a registration, unless it is of an earlier boot. Returns the runs that
-	 * ended because the VM has restarted.
+	 * Applies a registration, unless it is of an earlier boot. Returns the instances that
+	 * are gone because a later one has registered the id or the address.
 	 */
-	List<TaskState> registered(VmRegistration registration, Moment now) {
+	List<LostInstance> registered(VmRegistration registration, Moment now) {
+		List<LostInstance> lost = new ArrayList<>();
+		for (VmState other : this.vms.values()) {
+			if (!other.id().equals(registration.id()) && other.registration.address().equals(registration.address())
+					&& other.newestBoot() < registration.boot()) {
+				replaced(other, registration.id() + " has registered its address", now).ifPresent(lost::add);
+			}
+		}
 		VmState vm = this.vms.computeIfAbsent(registration.id(), (id) -> new VmState(registration));
 		if (registration.boot() < vm.registration.boot()) {
-			return List.of();
+			return lost;
 		}
-		List<TaskState> lost = restarted(vm, registration.boot());
+		restarted(vm, registration.boot(), now).ifPresent(lost::add);
 		vm.registration = registration;
 		vm.registered = true;
 		vm.removedItself = false;
@@ -78,25 +91,30 @@
 	}
 
 	/**
-	 * Returns the VMs whose address a later instance with another id has registered.
+	 * Records that another instance runs at the address of a VM. Two instances cannot
+	 * have one address, so the VM and its runs are gone.
 	 */
-	List<VmState> supersededBy(VmRegistration registration) {
-		return this.vms.values()
-			.stream()
-			.filter((vm) -> !vm.id().equals(registration.id())
-					&& vm.registration.address().equals(registration.address())
-					&& vm.registration.boot() < registration.boot())
-			.toList();
+	Optional<LostInstance> replaced(VmState vm, String evidence, Moment now) {
+		if (vm.replaced) {
+			return Optional.empty();
+		}
+		vm.replaced = true;
+		LostInstance lost = LostInstance.of(vm, evidence, List.copyOf(vm.tasks), now);
+		vm.lapsedRuns = List.of();
+		return Optional.of(lost);
 	}
 
 	/**
-	 * Applies the boot that a VM reports. Returns the runs of earlier boots if the boot
-	 * is new, nothing otherwise.
+	 * Applies the boot that a VM reports. Returns the instance of before if the boot is
+	 * new and the VM was known.
 	 */
-	List<TaskState> restarted(VmState vm, long boot) {
+	Optional<LostInstance> restarted(VmState vm, long boot, Moment now) {
 		if (boot <= vm.registration.boot()) {
-			return List.of();
+			return Optional.empty();
 		}
+		LostInstance lost = LostInstance.of(vm, "the VM has restarted",
+				vm.tasks.stream().filter((task) -> task.boot < boot).toList(), now);
+		vm.lapsedRuns = List.of();
 		VmRegistration previous = vm.registration;
 		vm.registration = new VmRegistration(previous.id(), previous.pool(), previous.address(),
 				previous.failureDomain(), boot, previous.draining(), previous.remainingMs(), previous.capacity(),
@@ -109,10 +127,11 @@
 		vm.fenced = false;
 		vm.clockMs = 0;
 		vm.answeredAt = 0;
+		vm.silentSince = 0;
 		vm.leaseUntil = 0;
 		vm.consecutiveFailures = 0;
 		vm.quarantinedUntil = 0;
-		return vm.tasks.stream().filter((task) -> task.boot < boot).toList();
+		return Optional.of(lost);
 	}
 
 	/**
@@ -146,6 +165,7 @@
 		if (vm != null) {
 			vm.renewalPending = false;
 			vm.unanswered = true;
+			vm.silentSince = (vm.silentSince > 0) ? vm.silentSince : now.monotonicMs();
 			vm.nextRenewalAt = now.monotonicMs() + this.timings.retryMs();
 		}
 	}
@@ -157,7 +177,7 @@
 		task.placedAt = now.monotonicMs();
 		task.checkpointedAt = now.monotonicMs();
 		task.progressedAt = now.monotonicMs();
-		this.vms.computeIfAbsent(task.vm, VmRegistry::unregisteredVm).tasks.add(task);
+		this.vms.computeIfAbsent(task.vm, (id) -> unregisteredVm(id, task.address)).tasks.add(task);
 	}
 
 	/**
@@ -181,8 +201,10 @@
 		if (!vm.fenced) {
 			vm.leaseUntil = Math.max(vm.leaseUntil, clockMs + this.timings.longestLeaseMs());
 		}
+		vm.lapsedRuns = List.of();
 		vm.renewalPending = false;
 		vm.unanswered = false;
+		vm.silentSince = 0;
 		vm.fenced = true;
 		vm.nextRenewalAt = now.monotonicMs();
 		vm.acknowledgedEnd = Math.max(vm.acknowledgedEnd, vm.acknowledgeableEnd());
@@ -204,10 +226,13 @@
 	}
 
 	/**
-	 * Removes VMs that are not registered and have no tasks.
+	 * Removes VMs that are not registered and have no tasks. Those with runs that may
+	 * have ended in a crash are kept for a time.
 	 */
-	void removeUnregistered() {
-		this.vms.values().removeIf((vm) -> !vm.registered && vm.tasks.isEmpty());
+	void removeUnregistered(Moment now) {
+		this.vms.values()
+			.removeIf((vm) -> !vm.registered && vm.tasks.isEmpty() && (vm.lapsedRuns.isEmpty()
+					|| now.monotonicMs() - vm.answeredAt > LAPSED_RUN_MEMORY_LEASES * this.timings.longestLeaseMs()));
 	}
 
 	/**
@@ -234,9 +259,9 @@
 				mayWait ? this.timings.renewWaitMs() : 0));
 	}
 
-	private static VmState unregisteredVm(String id) {
-		VmState vm = new VmState(new VmRegistration(id, "", UNKNOWN_ADDRESS, "", 0, false, VmRegistration.UNKNOWN,
-				Resources.NONE, "", Set.of()));
+	private static VmState unregisteredVm(String id, Address address) {
+		VmState vm = new VmState(new VmRegistration(id, "", (address != null) ? address : UNKNOWN_ADDRESS, "", 0, false,
+				VmRegistration.UNKNOWN, Resources.NONE, "", Set.of()));
 		vm.registered = false;
 		return vm;
 	}
@@ -245,7 +270,7 @@
 		List<VmCapacity> capacities = new ArrayList<>();
 		for (VmState vm : this.vms.values()) {
 			if (vm.acceptsTasks(now) && vm.fenced) {
-				capacities.add(new VmCapacity(vm));
+				capacities.add(new VmCapacity(vm, now.monotonicMs()));
 			}
 		}
 		return capacities;
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -2,10 +2,11 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.VmRegistration;
@@ -37,6 +38,12 @@
 	 */
 	final Map<String, Resources> orphanedRuns = new HashMap<>();
 
+	/**
+	 * The runs that counted as ended when the lease had lapsed, until the VM answers
+	 * again or is known to be gone.
+	 */
+	List<SuspectRun> lapsedRuns = List.of();
+
 	/** The VM's clock at its last answer, in milliseconds. */
 	long clockMs;
 
@@ -85,6 +92,12 @@
 	 */
 	boolean unanswered;
 
+	/**
+	 * When the VM first failed to answer since its last answer, in monotonic
+	 * milliseconds; 0 while it answers.
+	 */
+	long silentSince;
+
 	/** Whether a renewal was sent and its outcome is not known yet. */
 	boolean renewalPending;
 
@@ -137,13 +150,10 @@
 	}
 
 	/**
-	 * Describes the recorded runs and how long ago they were placed, for logs.
+	 * Returns the newest boot of the VM that is registered or that a run was assigned to.
 	 */
-	String describeRuns(Moment now) {
-		return this.tasks.stream()
-			.map((task) -> task.id() + " run " + task.run + " " + task.phase + " for "
-					+ (now.monotonicMs() - task.placedAt) + " ms")
-			.collect(Collectors.joining(", ", "[", "]"));
+	long newestBoot() {
+		return Math.max(this.registration.boot(), this.tasks.stream().mapToLong((task) -> task.boot).max().orElse(0));
 	}
 
 	/**
@@ -154,6 +164,16 @@
 		return this.unstoredEnds.isEmpty() ? this.handledEnd : this.unstoredEnds.first() - 1;
 	}
 
+	/**
+	 * Remembers runs that count as ended because the lease has lapsed: if the VM turns
+	 * out to have crashed, they are suspected.
+	 */
+	void rememberLapsed(List<TaskState> runs) {
+		this.lapsedRuns = Stream
+			.concat(this.lapsedRuns.stream(), runs.stream().map((task) -> SuspectRun.of(task, this.answeredAt)))
+			.toList();
+	}
+
 	void recordAnswer(long clockMs, Moment now) {
 		this.clockMs = clockMs;
 		this.answeredAt = now.monotonicMs();
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -225,7 +225,7 @@
 				case Effect.Start start -> this.vms.get(start.vm().id()).start(start, this.token);
 				case Effect.Stop stop -> this.vms.get(stop.vm().id()).stop(stop, this.token);
 				case Effect.Renew renew -> this.vms.get(renew.vm().id()).renew(renew, this.token);
-				case Effect.Note _ -> {
+				case Effect.VmCrashed _, Effect.GivenUp _, Effect.Note _ -> {
 				}
 			}
 		}
