Give a culprit up after two crashes right after its start; end a probation as soon as the run has outlasted the crash

Cause: two of three suspects of a shared crash are cleared by their next run, so the second crash of the culprit, alone and at the same age, already tells; the third cost a VM for nothing. A probation of two seconds, seen only at the end of a renewal of 1.5 s, kept VMs closed for longer than the crash that it waits for takes (20 to 40 ms). The renewal of a VM with a guarded run now returns when the probation ends.

--- a/src/main/java/org/citronrelay/internal/schedule/CrashSuspicion.java
+++ b/src/main/java/org/citronrelay/internal/schedule/CrashSuspicion.java
@@ -19,7 +19,7 @@
 	 * How long a run has to last before it counts as proven on its VM, in milliseconds.
 	 * Tasks that crash their VM do so soon after their start.
 	 */
-	private static final long PROBATION_MS = 2_000;
+	private static final long PROBATION_MS = 1_000;
 
 	/**
 	 * The age of a run up to which its start is the likely cause of a crash, in
@@ -32,21 +32,21 @@
 	 */
 	private static final long AGE_TOLERANCE_MS = 500;
 
-	/** The crashes at one age after which a task is given up. */
-	private static final int CRASHES_AT_ONE_AGE = 4;
+	/** The crashes right after its start after which a task is given up. */
+	private static final int CRASHES_AT_START = 2;
 
-	/**
-	 * How many of them must have had no other suspect; as many right after the start of
-	 * the task are enough.
-	 */
-	private static final int CRASHES_ALONE = 2;
+	/** The crashes at one later age after which a task is given up. */
+	private static final int CRASHES_AT_ONE_AGE = 4;
 
 	/**
-	 * The crashes after which a task is given up whatever they say about it: the platform
-	 * allows no further start.
+	 * The crashes after which weaker evidence is enough, as the platform allows no
+	 * further start of a culprit.
 	 */
 	private static final int MOST_CRASHES = 5;
 
+	/** How many of these have to agree, in their age or in leaving no other suspect. */
+	private static final int AGREEING_CRASHES = 3;
+
 	private CrashSuspicion() {
 	}
 
@@ -59,36 +59,50 @@
 
 	/**
 	 * Whether a task is given up, so that its job fails. VMs also crash for other causes,
-	 * at any age of a run: only crashes at the same age, with no other suspect, speak
-	 * against the task.
+	 * at any age of a run; crashes at one age speak against the task, if there was no
+	 * other suspect at least once.
 	 */
 	static boolean conclusive(List<VmCrash> crashes) {
-		if (crashes.size() >= MOST_CRASHES) {
+		List<VmCrash> suspected = crashes.stream().filter((crash) -> crash.evidence() != Evidence.BYSTANDER).toList();
+		if (crashes.size() >= MOST_CRASHES && (alone(suspected) >= AGREEING_CRASHES || suspected.stream()
+			.anyMatch((crash) -> sameAge(suspected, crash, true).size() >= AGREEING_CRASHES))) {
 			return true;
 		}
-		List<VmCrash> suspected = crashes.stream()
-			.filter((crash) -> crash.evidence() != Evidence.BYSTANDER && crash.ageMs() != SuspectRun.UNKNOWN)
+		List<VmCrash> atStart = suspected.stream()
+			.filter((crash) -> crash.ageMs() != SuspectRun.UNKNOWN && crash.ageMs() <= START_MS)
+			.toList();
+		return (atStart.size() >= CRASHES_AT_START && alone(atStart) > 0) || suspected.stream().anyMatch((crash) -> {
+			List<VmCrash> sameAge = sameAge(suspected, crash, false);
+			return sameAge.size() >= CRASHES_AT_ONE_AGE && alone(sameAge) > 1;
+		});
+	}
+
+	/**
+	 * Returns the crashes at the age of one crash or a little later.
+	 * @param orUnknown whether to include those at an unknown age
+	 */
+	private static List<VmCrash> sameAge(List<VmCrash> crashes, VmCrash earliest, boolean orUnknown) {
+		return crashes.stream()
+			.filter((crash) -> (crash.ageMs() == SuspectRun.UNKNOWN) ? orUnknown
+					: crash.ageMs() >= earliest.ageMs() && crash.ageMs() - earliest.ageMs() <= AGE_TOLERANCE_MS)
 			.toList();
-		return suspected.stream().anyMatch((crash) -> {
-			List<VmCrash> sameAge = suspected.stream()
-				.filter((other) -> other.ageMs() >= crash.ageMs() && other.ageMs() - crash.ageMs() <= AGE_TOLERANCE_MS)
-				.toList();
-			return sameAge.size() >= CRASHES_AT_ONE_AGE && countAlone(sameAge) >= CRASHES_ALONE;
-		}) || countAlone(suspected.stream().filter((crash) -> crash.ageMs() <= START_MS).toList()) >= CRASHES_ALONE;
 	}
 
-	private static long countAlone(List<VmCrash> crashes) {
+	private static long alone(List<VmCrash> crashes) {
 		return crashes.stream().filter((crash) -> crash.evidence() == Evidence.ONLY_SUSPECT).count();
 	}
 
 	/**
-	 * Returns how long a run of a task is on probation, in milliseconds. After several
-	 * crashes the run has to outlast all those before it, in case the task crashes its VM
-	 * late.
+	 * Returns how long a run of a task is on probation, in milliseconds. A suspect has to
+	 * outlast the crashes before; after a single crash no longer than any other run.
 	 */
 	static long probationMs(List<VmCrash> crashes) {
-		long longest = crashes.stream().mapToLong(VmCrash::ageMs).max().orElse(0);
-		return (crashes.size() > 1) ? longest + PROBATION_MS : PROBATION_MS;
+		long longest = crashes.stream()
+			.filter((crash) -> crash.evidence() != Evidence.BYSTANDER)
+			.mapToLong(VmCrash::ageMs)
+			.max()
+			.orElse(PROBATION_MS);
+		return (crashes.size() > 1) ? longest + AGE_TOLERANCE_MS : Math.min(PROBATION_MS, longest + AGE_TOLERANCE_MS);
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -256,7 +256,7 @@
 		vm.renewalSentAt = now.monotonicMs();
 		boolean mayWait = vm.fenced && !hasUnstoredEnd && !vm.tasks.isEmpty();
 		return Optional.of(new Effect.Renew(vm.registration, leaseUntil, vm.acknowledgeableEnd(),
-				mayWait ? this.timings.renewWaitMs() : 0));
+				mayWait ? Math.min(this.timings.renewWaitMs(), vm.guardEndsInMs(now)) : 0));
 	}
 
 	private static VmState unregisteredVm(String id, Address address) {
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -149,6 +149,19 @@
 				+ LAPSE_MARGIN_MS;
 	}
 
+	/**
+	 * Returns the time until the guarded runs will have outlasted their probation, in
+	 * milliseconds; {@link Long#MAX_VALUE} if none is on probation.
+	 */
+	long guardEndsInMs(Moment now) {
+		return this.tasks.stream()
+			.filter((task) -> task.guarded() && task.startedAt > 0 && !task.provenAt(this.answeredAt))
+			.mapToLong((task) -> Math.max(0,
+					task.startedAt + CrashSuspicion.probationMs(task.crashes) - now.monotonicMs()))
+			.max()
+			.orElse(Long.MAX_VALUE);
+	}
+
 	/**
 	 * Returns the newest boot of the VM that is registered or that a run was assigned to.
 	 */
