Withdraw starts from a VM that has shrunk, and judge racks by the full capacity of their VMs

Cause: the capacity of a VM was read when a task was placed. Between that and the start command, or its repetition, the VM may shrink; the start then took it over its capacity (LIMIT). A gang that fits into no rack while one VM is small was spread over racks, where it takes several times as long. Now placed runs that no longer fit are withdrawn, newest first; what runs goes on, also under the next coordinator; what is being stopped still counts; a rack is judged by the most that its VMs have offered in their present boot. Nothing was found that refuses a job because of a capacity.

--- a/src/main/java/org/citronrelay/internal/batch/Resources.java
+++ b/src/main/java/org/citronrelay/internal/batch/Resources.java
@@ -39,6 +39,14 @@
 		return new Resources(this.cpuMillis * count, this.memoryMb * count, this.accelerators * count);
 	}
 
+	/**
+	 * Returns the larger of two amounts, for each resource.
+	 */
+	public Resources max(Resources other) {
+		return new Resources(Math.max(this.cpuMillis, other.cpuMillis), Math.max(this.memoryMb, other.memoryMb),
+				Math.max(this.accelerators, other.accelerators));
+	}
+
 	/**
 	 * Whether this amount is available in a capacity, for each resource.
 	 */
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -200,6 +200,7 @@
 			}
 			this.lifecycle.stopStalledRuns(vm, now);
 			this.lifecycle.evacuate(vm, now);
+			StartWithdrawal.excess(vm).forEach(this.lifecycle::withdraw);
 			if (leadershipConfirmed) {
 				this.lifecycle.issueCommands(vm, now);
 			}
--- a/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
+++ b/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
@@ -19,6 +19,8 @@
 	GANG_INCOMPLETE,
 	/** Another member of the gang ended. */
 	GANG_BROKEN,
+	/** The capacity of the VM shrank before the run had started. */
+	NO_CAPACITY,
 	/** The VM refused to start the run. */
 	REFUSED,
 	/** The VM reported that the run failed. */
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/schedule/StartWithdrawal.java
@@ -0,0 +1,47 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.citronrelay.internal.batch.Resources;
+
+/**
+ * Chooses the starts to withdraw from a VM that has become too small for them.
+ *
+ * <p>
+ * Load pattern: the capacity of a VM shrinks between the placement of a task and its
+ * start, or before the command is repeated. Runs that have started go on, and so do those
+ * of an earlier coordinator, which may have; runs that are being stopped still take their
+ * room.
+ */
+final class StartWithdrawal {
+
+	private StartWithdrawal() {
+	}
+
+	/**
+	 * Returns the placed tasks, newest first, without which the rest fits; all of them if
+	 * the rest does not fit even then.
+	 */
+	static List<TaskState> excess(VmState vm) {
+		Resources free = vm.free();
+		if (Resources.NONE.fits(free)) {
+			return List.of();
+		}
+		List<TaskState> placed = vm.tasks.stream()
+			.filter((task) -> task.phase == TaskPhase.PLACED && !task.inherited)
+			.sorted(Comparator.comparingLong((TaskState task) -> task.placedAt).reversed())
+			.toList();
+		List<TaskState> excess = new ArrayList<>();
+		for (TaskState task : placed) {
+			if (Resources.NONE.fits(free)) {
+				break;
+			}
+			excess.add(task);
+			free = free.plus(task.needs());
+		}
+		return excess;
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -231,6 +231,15 @@
 		}
 	}
 
+	/**
+	 * Withdraws a task from a VM whose capacity has shrunk before the task has started.
+	 */
+	void withdraw(TaskState task) {
+		this.outbox.note(task.step.job.id(), "Withdrawing a start as its VM has shrunk",
+				task.id() + " run " + task.run + " on " + task.vm);
+		stop(task, RunEndCause.NO_CAPACITY);
+	}
+
 	/**
 	 * Stops runs that make no progress, so that their tasks move to other VMs, and gangs
 	 * of which some members have waited too long for the others to start.
--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -206,11 +206,12 @@
 	}
 
 	/**
-	 * Whether some rack could hold the whole step if its VMs were empty.
+	 * Whether some rack could hold the whole step if its VMs were empty and had all of
+	 * their capacity.
 	 */
 	private boolean fitsInSomeRack(StepState step) {
 		return this.racks.values().stream().anyMatch((rack) -> rack.stream().mapToLong((vmCapacity) -> {
-			long fits = maxCopies(step.spec.taskResources(), vmCapacity.vm.registration.capacity());
+			long fits = maxCopies(step.spec.taskResources(), vmCapacity.vm.fullCapacity);
 			int limit = step.spec.limits().maxPerVm();
 			return (limit > 0) ? Math.min(fits, limit) : fits;
 		}).sum() >= step.spec.count());
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -83,6 +83,7 @@
 		}
 		restarted(vm, registration.boot(), now).ifPresent(lost::add);
 		vm.registration = registration;
+		vm.fullCapacity = vm.fullCapacity.max(registration.capacity());
 		vm.registered = true;
 		vm.removedItself = false;
 		boolean announced = registration.draining() && registration.remainingMs() != VmRegistration.UNKNOWN;
@@ -122,6 +123,7 @@
 		vm.orphanedRuns.clear();
 		vm.unstoredEnds.clear();
 		vm.replaced = false;
+		vm.fullCapacity = Resources.NONE;
 		vm.handledEnd = 0;
 		vm.acknowledgedEnd = 0;
 		vm.fenced = false;
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -28,6 +28,12 @@
 
 	VmRegistration registration;
 
+	/**
+	 * The most capacity that the VM has offered in its present boot: it may shrink and
+	 * grow again while it runs.
+	 */
+	Resources fullCapacity = Resources.NONE;
+
 	boolean registered = true;
 
 	final Set<TaskState> tasks = new LinkedHashSet<>();
--- a/src/test/java/org/citronrelay/internal/schedule/VmCapacityChangeTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCapacityChangeTests.java
@@ -67,6 +67,22 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void runsGoOnWhenTheirVmShrinksAndTheCoordinatorChanges() {
+		// given
+		FakeVm vm = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("job", "bulk", SchedulerFixture.step(3, THIRD_OF_VM, 5_000));
+		this.fixture.advanceTime(500);
+		// when
+		vm.capacity = HALF_VM;
+		vm.renewWaitMs = 500;
+		this.fixture.startNewCoordinator();
+		this.fixture.advanceTime(7_000);
+		// then
+		assertThat(this.fixture.startsOf("job")).isEqualTo(3);
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
 	@Test
 	void aGangIsNotSpreadOverRacksBecauseAVmIsSmallForAMoment() {
 		// given
