Send an idempotent request to no third backend server after two ended without an answer

The same class as tasks that crash their VMs: an idempotent request whose connection breaks was sent on to up to six backend servers, so that one request could take six down. Two lost answers leave the outcome unknown now; refusals and answered failures still go to others.

--- a/src/main/java/org/citronrelay/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/citronrelay/internal/dispatch/Dispatcher.java
@@ -25,6 +25,12 @@
 
 	private static final int MAX_ATTEMPTS = 6;
 
+	/**
+	 * How many attempts may end without an answer: the request may crash each worker that
+	 * runs it.
+	 */
+	private static final int MAX_LOST_ATTEMPTS = 2;
+
 	private static final long RETRY_AFTER_MS = 1_000;
 
 	private static final long AVOID_DRAINING_MS = 120_000;
@@ -191,7 +197,7 @@
 
 		private Option<Outcome> lastFailure = Option.none();
 
-		private boolean mayHaveRun;
+		private int lostAttempts;
 
 		Delivery(BackendRequest request, long deadline) {
 			this.request = request;
@@ -240,8 +246,9 @@
 		}
 
 		private Option<Outcome> ambiguous(Target target, AttemptResult.Ambiguous ambiguous) {
-			this.mayHaveRun = true;
-			if (this.request.idempotent() && Dispatcher.this.retryBudget.tryAcquire()) {
+			this.lostAttempts++;
+			if (this.request.idempotent() && this.lostAttempts < MAX_LOST_ATTEMPTS
+					&& Dispatcher.this.retryBudget.tryAcquire()) {
 				return tryAnother(target, ambiguous.reason());
 			}
 			return Option.some(new Outcome.Unknown(target.vm().id() + ": " + ambiguous.reason()));
@@ -256,7 +263,8 @@
 			if (this.lastFailure.isDefined()) {
 				return this.lastFailure.get();
 			}
-			return this.mayHaveRun ? new Outcome.Unknown(reason) : new Outcome.NotRun(cause, reason, RETRY_AFTER_MS);
+			return (this.lostAttempts > 0) ? new Outcome.Unknown(reason)
+					: new Outcome.NotRun(cause, reason, RETRY_AFTER_MS);
 		}
 
 		private static Outcome done(HttpReply reply) {
--- a/src/test/java/org/citronrelay/internal/dispatch/DispatcherTests.java
+++ b/src/test/java/org/citronrelay/internal/dispatch/DispatcherTests.java
@@ -49,6 +49,19 @@
 		assertThat(this.sentByAddress).hasSize(2);
 	}
 
+	@Test
+	void aRequestThatCrashesEachWorkerReachesTwoAtMost() {
+		// given
+		Dispatcher dispatcher = dispatcher((address) -> new AttemptResult.Ambiguous("the connection was closed"));
+
+		// when
+		Outcome outcome = dispatcher.send(request(true), this.now.get() + DEADLINE_MS);
+
+		// then
+		assertThat(outcome).isInstanceOf(Outcome.Unknown.class);
+		assertThat(sent()).isEqualTo(2);
+	}
+
 	@Test
 	void aRequestThatEveryWorkerRefusesDidNotRun() {
 		// given
