Leave a job alone that cannot be scheduled, instead of ending each coordinator that loads it

A stored job with a step that waits for one that does not exist threw while it was added (ArrayIndexOutOfBounds), which ended the term; each successor loaded it again. Submissions are checked for this, so it takes a record of another version or a damaged one. The test failed before with that error.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -226,9 +226,15 @@
 		}
 	}
 
+	/**
+	 * Adds a job. One that cannot be scheduled is left alone, or it would end each
+	 * coordinator that loads it.
+	 */
 	private void jobStored(BatchJob job, Moment now) {
-		if (!this.unreadableJobs.contains(job.id())) {
-			this.scheduler.jobAdded(job, now);
+		if (!this.unreadableJobs.contains(job.id())
+				&& !ErrorBoundary.run("add job " + job.id(), () -> this.scheduler.jobAdded(job, now))) {
+			this.unreadableJobs.add(job.id());
+			this.scheduler.jobRemoved(job.id());
 		}
 	}
 
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -123,6 +123,20 @@
 			.isEqualTo(laterFormat);
 	}
 
+	@Test
+	void aJobThatCannotBeScheduledDoesNotEndEachCoordinatorThatLoadsIt() {
+		// given a job with a step that waits for one that does not exist
+		String steps = "[{\"count\":1,\"after\":[7]}]";
+		write(StoreKeys.JOBS + "broken",
+				("{\"format\":1,\"queue\":\"q\",\"steps\":" + steps + "}").getBytes(StandardCharsets.UTF_8));
+		// when
+		coordinate();
+		this.service.submit(BatchJobServiceTests.job("a"));
+		this.service.cancel("a");
+		// then
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> phase("a") == JobPhase.CANCELLED);
+	}
+
 	@Test
 	void aRecordThatCannotBeReadDoesNotEndTheWatch() {
 		// given
