--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -31,11 +31,8 @@
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.schedule.ClusterScheduler;
-import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.Moment;
 import org.citronrelay.internal.schedule.StartAnswer;
-import org.citronrelay.internal.schedule.VmAbsence;
-import org.citronrelay.internal.schedule.VmAnswer;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
 
@@ -88,6 +85,8 @@
 
 	private final Housekeeping housekeeping;
 
+	private final EffectExecutor effects;
+
 	/** The jobs whose stored progress cannot be read; they are not scheduled. */
 	private final Set<String> unreadableJobs = new HashSet<>();
 
@@ -100,6 +99,7 @@
 		this.statistics = this.scheduler.statistics();
 		this.housekeeping = new Housekeeping(dependencies.store(), dependencies.executor(), term.token(),
 				dependencies.settings().keepEndedMs());
+		this.effects = new EffectExecutor(dependencies, term.token(), this::enqueue);
 		this.decisions = new DecisionStatistics(dependencies.metrics(), dependencies.ticker().millis());
 	}
 
@@ -186,7 +186,7 @@
 		long began = this.dependencies.ticker().millis();
 		Moment now = now();
 		this.scheduler.advance(now, this.term.holdsLease(now));
-		this.scheduler.effects().forEach(this::execute);
+		this.scheduler.effects().forEach(this.effects::execute);
 		write();
 		this.statistics = this.housekeeping.run(this.scheduler, this.dependencies.ticker().millis());
 		this.decisions.recordRound(began, this.dependencies.ticker().millis());
@@ -263,66 +263,6 @@
 		this.scheduler.startAnswered(answered.task(), answered.run(), answered.answer(), now);
 	}
 
-	private void execute(Effect effect) {
-		long token = this.term.token();
-		switch (effect) {
-			case Effect.Start start -> this.dependencies.executor().execute(() -> start(start, token));
-			case Effect.Stop stop -> this.dependencies.executor().execute(() -> stop(stop, token));
-			case Effect.Renew renew -> this.dependencies.executor().execute(() -> renew(renew, token));
-			case Effect.VmCrashed crashed -> vmCrashed(crashed, token);
-			case Effect.GivenUp givenUp -> givenUp(givenUp, token);
-			case Effect.Note note -> Part.JOB.logger()
-				.atInfo()
-				.addKeyValue("job", note.job())
-				.addKeyValue("token", token)
-				.addKeyValue("reason", note.reason())
-				.log(note.decision());
-		}
-	}
-
-	private void vmCrashed(Effect.VmCrashed crashed, long token) {
-		this.dependencies.metrics().recordVmCrash(crashed.teams());
-		Part.WORKER.logger()
-			.atWarn()
-			.addKeyValue("vm", crashed.vm())
-			.addKeyValue("token", token)
-			.addKeyValue("suspectedTeams", crashed.teams())
-			.addKeyValue("reason", crashed.reason())
-			.log("A VM has crashed.");
-	}
-
-	private void givenUp(Effect.GivenUp givenUp, long token) {
-		this.dependencies.metrics().recordGivenUp(givenUp.team());
-		Part.JOB.logger()
-			.atWarn()
-			.addKeyValue("job", givenUp.job())
-			.addKeyValue("token", token)
-			.addKeyValue("team", givenUp.team())
-			.addKeyValue("reason", givenUp.reason())
-			.log("Job failed: VMs crash under one of its tasks.");
-	}
-
-	private void start(Effect.Start start, long token) {
-		StartAnswer answer = ErrorBoundary.call("start " + start.task() + " on VM " + start.vm().id(),
-				() -> this.dependencies.workerClient().start(start, token), (error) -> StartAnswer.UNKNOWN);
-		enqueue(new StartAnswered(start.task(), start.run(), answer));
-	}
-
-	private void stop(Effect.Stop stop, long token) {
-		boolean confirmed = ErrorBoundary.call("stop " + stop.task() + " on VM " + stop.vm().id(),
-				() -> this.dependencies.workerClient().stop(stop, token), (error) -> false);
-		if (confirmed) {
-			enqueue(new StopAnswered(stop.task(), stop.run()));
-		}
-	}
-
-	private void renew(Effect.Renew renew, long token) {
-		Either<NoAnswer, VmAnswer> answer = ErrorBoundary.call("renew the lease of VM " + renew.vm().id(),
-				() -> this.dependencies.workerClient().renew(renew, token),
-				(error) -> Either.left(new NoAnswer("the answer could not be read: " + error, VmAbsence.UNKNOWN)));
-		enqueue(new RenewalEnded(renew.vm().id(), answer));
-	}
-
 	private void write() {
 		if (this.writeInProgress) {
 			return;
--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/cluster/EffectExecutor.java
@@ -0,0 +1,108 @@
+package org.citronrelay.internal.cluster;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.citronrelay.internal.cluster.CoordinatorEvent.RenewalEnded;
+import org.citronrelay.internal.cluster.CoordinatorEvent.StartAnswered;
+import org.citronrelay.internal.cluster.CoordinatorEvent.StopAnswered;
+import org.citronrelay.internal.logging.Part;
+import org.citronrelay.internal.schedule.Effect;
+import org.citronrelay.internal.schedule.StartAnswer;
+import org.citronrelay.internal.schedule.VmAbsence;
+import org.citronrelay.internal.schedule.VmAnswer;
+
+/**
+ * Carries out the effects of one term: sends commands to VMs, and writes what the
+ * scheduler reports to the log and the metrics.
+ */
+final class EffectExecutor {
+
+	private final WorkerClient workerClient;
+
+	private final Executor executor;
+
+	private final ClusterMetrics metrics;
+
+	private final long token;
+
+	private final Consumer<CoordinatorEvent> events;
+
+	/**
+	 * Creates the executor of a term.
+	 * @param token the fencing token of the term
+	 * @param events receives the answers to commands, from any thread
+	 */
+	EffectExecutor(Coordinator.Dependencies dependencies, long token, Consumer<CoordinatorEvent> events) {
+		this.workerClient = dependencies.workerClient();
+		this.executor = dependencies.executor();
+		this.metrics = dependencies.metrics();
+		this.token = token;
+		this.events = events;
+	}
+
+	/**
+	 * Carries out an effect. Commands are sent in the background; their answers become
+	 * events.
+	 */
+	void execute(Effect effect) {
+		switch (effect) {
+			case Effect.Start start -> this.executor.execute(() -> start(start));
+			case Effect.Stop stop -> this.executor.execute(() -> stop(stop));
+			case Effect.Renew renew -> this.executor.execute(() -> renew(renew));
+			case Effect.VmCrashed crashed -> vmCrashed(crashed);
+			case Effect.GivenUp givenUp -> givenUp(givenUp);
+			case Effect.Note note -> Part.JOB.logger()
+				.atInfo()
+				.addKeyValue("job", note.job())
+				.addKeyValue("token", this.token)
+				.addKeyValue("reason", note.reason())
+				.log(note.decision());
+		}
+	}
+
+	private void vmCrashed(Effect.VmCrashed crashed) {
+		this.metrics.recordVmCrash(crashed.teams());
+		Part.WORKER.logger()
+			.atWarn()
+			.addKeyValue("vm", crashed.vm())
+			.addKeyValue("token", this.token)
+			.addKeyValue("suspectedTeams", crashed.teams())
+			.addKeyValue("reason", crashed.reason())
+			.log("A VM has crashed.");
+	}
+
+	private void givenUp(Effect.GivenUp givenUp) {
+		this.metrics.recordGivenUp(givenUp.team());
+		Part.JOB.logger()
+			.atWarn()
+			.addKeyValue("job", givenUp.job())
+			.addKeyValue("token", this.token)
+			.addKeyValue("team", givenUp.team())
+			.addKeyValue("reason", givenUp.reason())
+			.log("Job failed: VMs crash under one of its tasks.");
+	}
+
+	private void start(Effect.Start start) {
+		StartAnswer answer = ErrorBoundary.call("start " + start.task() + " on VM " + start.vm().id(),
+				() -> this.workerClient.start(start, this.token), (error) -> StartAnswer.UNKNOWN);
+		this.events.accept(new StartAnswered(start.task(), start.run(), answer));
+	}
+
+	private void stop(Effect.Stop stop) {
+		boolean confirmed = ErrorBoundary.call("stop " + stop.task() + " on VM " + stop.vm().id(),
+				() -> this.workerClient.stop(stop, this.token), (error) -> false);
+		if (confirmed) {
+			this.events.accept(new StopAnswered(stop.task(), stop.run()));
+		}
+	}
+
+	private void renew(Effect.Renew renew) {
+		Either<NoAnswer, VmAnswer> answer = ErrorBoundary.call("renew the lease of VM " + renew.vm().id(),
+				() -> this.workerClient.renew(renew, this.token),
+				(error) -> Either.left(new NoAnswer("the answer could not be read: " + error, VmAbsence.UNKNOWN)));
+		this.events.accept(new RenewalEnded(renew.vm().id(), answer));
+	}
+
+}
--- a/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
+++ b/src/main/java/org/citronrelay/internal/schedule/RunEndCause.java
@@ -32,6 +32,26 @@
 	/** The VM shut down, or never started the run. */
 	VM_LOST,
 	/** The VM ended the run, and the coordinator did not ask for it. */
-	UNEXPECTED
+	UNEXPECTED;
+
+	/**
+	 * Returns why the runs of a job that has ended are stopped.
+	 */
+	static RunEndCause of(JobPhase ended) {
+		return (ended == JobPhase.FAILED) ? JOB_FAILED : JOB_CANCELLED;
+	}
+
+	/**
+	 * Returns why a run ended, from what its VM reports.
+	 * @param stopCause why the run was told to stop, null if it was not
+	 */
+	static RunEndCause of(VmAnswer.EndReason reported, RunEndCause stopCause) {
+		return switch (reported) {
+			case BROKEN -> GANG_BROKEN;
+			case ALONE -> GANG_INCOMPLETE;
+			case LAPSED -> LEASE_LAPSED;
+			default -> (stopCause != null) ? stopCause : UNEXPECTED;
+		};
+	}
 
 }
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -123,7 +123,7 @@
 			runStarted(task, now);
 		}
 		if (task.step.job.phase.ended()) {
-			stop(task, causeOf(task.step.job.phase));
+			stop(task, RunEndCause.of(task.step.job.phase));
 		}
 		if (task.inherited) {
 			estimateStart(task, running, now);
@@ -159,7 +159,7 @@
 			case DONE -> runSucceeded(task, vm, now);
 			case FAILED -> runFailed(task, vm, now);
 			case STOPPED, LAPSED, BROKEN, ALONE -> {
-				endedEarly(task, causeOf(task, ended.reason()), ended.reason().name(), now);
+				endedEarly(task, RunEndCause.of(ended.reason(), task.stopCause), ended.reason().name(), now);
 				release(task);
 				requeue(task);
 			}
@@ -188,19 +188,6 @@
 						+ observed + ", " + Math.round(lost) + " core-seconds of unsaved work");
 	}
 
-	private static RunEndCause causeOf(TaskState task, VmAnswer.EndReason reason) {
-		return switch (reason) {
-			case BROKEN -> RunEndCause.GANG_BROKEN;
-			case ALONE -> RunEndCause.GANG_INCOMPLETE;
-			case LAPSED -> RunEndCause.LEASE_LAPSED;
-			default -> (task.stopCause != null) ? task.stopCause : RunEndCause.UNEXPECTED;
-		};
-	}
-
-	private static RunEndCause causeOf(JobPhase ended) {
-		return (ended == JobPhase.FAILED) ? RunEndCause.JOB_FAILED : RunEndCause.JOB_CANCELLED;
-	}
-
 	/**
 	 * Ends a job: its runs are stopped, and no further task of it starts.
 	 */
@@ -209,7 +196,7 @@
 		job.endedAt = now.monotonicMs();
 		job.unstored = true;
 		for (StepState step : job.steps) {
-			step.tasks.forEach((task) -> stop(task, causeOf(phase)));
+			step.tasks.forEach((task) -> stop(task, RunEndCause.of(phase)));
 		}
 	}
 
