Suspect no run that was placed after its VM had stopped to answer; report no crash of a VM that ran nothing

Found by reading: a task placed in the moments between a crash and its notice was recorded as a suspect right after its start, although it never ran, and hid that the culprit was the only suspect. A boot that becomes known at a hand-over was logged as a crash. The address of each registration was compared with all VMs at every heartbeat; now only when it is new.

--- a/src/main/java/org/citronrelay/internal/schedule/CrashSuspicion.java
+++ b/src/main/java/org/citronrelay/internal/schedule/CrashSuspicion.java
@@ -97,6 +97,9 @@
 	 * outlast the crashes before; after a single crash no longer than any other run.
 	 */
 	static long probationMs(List<VmCrash> crashes) {
+		if (crashes.isEmpty()) {
+			return PROBATION_MS;
+		}
 		long longest = crashes.stream()
 			.filter((crash) -> crash.evidence() != Evidence.BYSTANDER)
 			.mapToLong(VmCrash::ageMs)
--- a/src/main/java/org/citronrelay/internal/schedule/LostInstanceHandler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/LostInstanceHandler.java
@@ -23,6 +23,10 @@
 		this.outbox = outbox;
 	}
 
+	/**
+	 * Ends the runs of an instance. If it crashed, records the crash for their tasks and
+	 * gives up those that are proven to be the cause.
+	 */
 	void handle(LostInstance instance, Moment now) {
 		if (instance.announced()) {
 			instance.runs()
@@ -30,13 +34,13 @@
 			return;
 		}
 		List<SuspectRun> suspects = suspects(instance);
-		boolean unproven = suspects.stream().anyMatch((run) -> !run.proven());
-		Set<Object> likely = suspects.stream()
-			.filter((run) -> !unproven || !run.proven())
-			.map((run) -> run.task().unit())
-			.collect(Collectors.toSet());
+		if (instance.runs().isEmpty() && suspects.isEmpty()) {
+			return;
+		}
+		Set<Object> likely = likelyCauses(suspects);
 		for (SuspectRun run : suspects) {
-			run.task().crashes.add(crash(run, unproven, likely, instance, now));
+			run.task().crashes.add(new VmCrash(instance.vm(), now.wallMs(), run.ageAt(instance.failedAt()),
+					evidence(run, suspects, likely)));
 			run.task().step.job.unstored = true;
 		}
 		report(instance, suspects, likely, now);
@@ -56,22 +60,35 @@
 			.concat(instance.runs()
 				.stream()
 				.filter(TaskState::mayHaveStarted)
-				.map((task) -> SuspectRun.of(task, instance.answeredAt())), instance.lapsedRuns().stream())
+				.map((task) -> SuspectRun.of(task, instance.answeredAt(), instance.failedAt())),
+					instance.lapsedRuns().stream())
 			.toList();
 	}
 
-	private static VmCrash crash(SuspectRun run, boolean unproven, Set<Object> likely, LostInstance instance,
-			Moment now) {
-		Evidence evidence = (likely.size() > 1) ? Evidence.SUSPECT : Evidence.ONLY_SUSPECT;
-		return new VmCrash(instance.vm(), now.wallMs(), run.ageAt(instance.failedAt()),
-				(unproven && run.proven()) ? Evidence.BYSTANDER : evidence);
+	/**
+	 * Returns the tasks and gangs that may have caused the crash: all of them if none is
+	 * more likely than the others.
+	 */
+	private static Set<Object> likelyCauses(List<SuspectRun> suspects) {
+		boolean noneLikely = suspects.stream().allMatch(SuspectRun::unlikely);
+		return suspects.stream()
+			.filter((run) -> noneLikely || !run.unlikely())
+			.map((run) -> run.task().unit())
+			.collect(Collectors.toSet());
+	}
+
+	private static Evidence evidence(SuspectRun run, List<SuspectRun> suspects, Set<Object> likely) {
+		if (run.unlikely() && !suspects.stream().allMatch(SuspectRun::unlikely)) {
+			return Evidence.BYSTANDER;
+		}
+		return (likely.size() > 1) ? Evidence.SUSPECT : Evidence.ONLY_SUSPECT;
 	}
 
 	private void report(LostInstance instance, List<SuspectRun> suspects, Set<Object> likely, Moment now) {
 		List<String> runs = new ArrayList<>();
 		for (SuspectRun run : suspects) {
 			VmCrash crash = run.task().crashes.getLast();
-			runs.add(run.task().id() + " after " + crash.ageMs() + " ms, " + crash.evidence() + ", crash "
+			runs.add(run.task().id() + " " + crash.age() + ", " + crash.evidence() + ", crash "
 					+ run.task().crashes.size() + " under it");
 		}
 		Set<String> teams = suspects.stream()
--- a/src/main/java/org/citronrelay/internal/schedule/VmCrash.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCrash.java
@@ -11,9 +11,16 @@
  */
 record VmCrash(String vm, long atWallMs, long ageMs, Evidence evidence) {
 
+	/**
+	 * Describes the age of the run, for logs.
+	 */
+	String age() {
+		return (this.ageMs == SuspectRun.UNKNOWN) ? "at an unknown age" : "after " + this.ageMs + " ms";
+	}
+
 	@Override
 	public String toString() {
-		return this.vm + " at " + this.atWallMs + " after " + this.ageMs + " ms (" + this.evidence + ")";
+		return this.vm + " at " + this.atWallMs + " " + age() + " (" + this.evidence + ")";
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -70,13 +70,7 @@
 	 * are gone because a later one has registered the id or the address.
 	 */
 	List<LostInstance> registered(VmRegistration registration, Moment now) {
-		List<LostInstance> lost = new ArrayList<>();
-		for (VmState other : this.vms.values()) {
-			if (!other.id().equals(registration.id()) && other.registration.address().equals(registration.address())
-					&& other.newestBoot() < registration.boot()) {
-				replaced(other, registration.id() + " has registered its address", now).ifPresent(lost::add);
-			}
-		}
+		List<LostInstance> lost = replacedBy(registration, now);
 		VmState vm = this.vms.computeIfAbsent(registration.id(), (id) -> new VmState(registration));
 		if (registration.boot() < vm.registration.boot()) {
 			return lost;
@@ -91,6 +85,25 @@
 		return lost;
 	}
 
+	/**
+	 * Returns the instances whose address a later one has registered under another id.
+	 */
+	private List<LostInstance> replacedBy(VmRegistration registration, Moment now) {
+		List<LostInstance> lost = new ArrayList<>();
+		VmState known = this.vms.get(registration.id());
+		if (known != null && known.registration.boot() == registration.boot()
+				&& known.registration.address().equals(registration.address())) {
+			return lost;
+		}
+		for (VmState other : this.vms.values()) {
+			if (!other.id().equals(registration.id()) && other.registration.address().equals(registration.address())
+					&& other.newestBoot() < registration.boot()) {
+				replaced(other, registration.id() + " has registered its address", now).ifPresent(lost::add);
+			}
+		}
+		return lost;
+	}
+
 	/**
 	 * Records that another instance runs at the address of a VM. Two instances cannot
 	 * have one address, so the VM and its runs are gone.
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -189,7 +189,10 @@
 	 */
 	void rememberLapsed(List<TaskState> runs) {
 		this.lapsedRuns = Stream
-			.concat(this.lapsedRuns.stream(), runs.stream().map((task) -> SuspectRun.of(task, this.answeredAt)))
+			.concat(this.lapsedRuns.stream(),
+					runs.stream()
+						.map((task) -> SuspectRun.of(task, this.answeredAt,
+								(this.silentSince > 0) ? this.silentSince : this.answeredAt)))
 			.toList();
 	}
 
