--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/schedule/CrashSuspicionTests.java
@@ -0,0 +1,59 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.List;
+
+import org.citronrelay.internal.schedule.VmCrash.Evidence;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the evidence that convicts or clears a task.
+ */
+class CrashSuspicionTests {
+
+	@Test
+	void twoCrashesAtTheStartConvictOnceThereWasNoOtherSuspect() {
+		assertThat(CrashSuspicion.conclusive(List.of(suspect(20), suspect(30)))).isFalse();
+		assertThat(CrashSuspicion.conclusive(List.of(suspect(20), alone(30)))).isTrue();
+	}
+
+	@Test
+	void crashesAtDifferentAgesDoNotConvict() {
+		assertThat(CrashSuspicion
+			.conclusive(List.of(suspect(2_312), bystander(4_500), suspect(3_430), alone(800), alone(1_277)))).isFalse();
+	}
+
+	@Test
+	void fourCrashesAtOneLaterAgeConvict() {
+		assertThat(CrashSuspicion.conclusive(List.of(suspect(6_000), alone(6_100), alone(5_900)))).isFalse();
+		assertThat(CrashSuspicion.conclusive(List.of(suspect(6_000), alone(6_100), alone(5_900), alone(6_050))))
+			.isTrue();
+	}
+
+	@Test
+	void fiveCrashesOfRunsOfEarlierCoordinatorsConvict() {
+		VmCrash unknown = suspect(SuspectRun.UNKNOWN);
+		assertThat(CrashSuspicion.conclusive(List.of(unknown, unknown, unknown, unknown))).isFalse();
+		assertThat(CrashSuspicion.conclusive(List.of(unknown, unknown, unknown, unknown, unknown))).isTrue();
+	}
+
+	@Test
+	void aSingleBystanderIsNotGuarded() {
+		assertThat(CrashSuspicion.guarded(List.of(bystander(3_000)))).isFalse();
+		assertThat(CrashSuspicion.guarded(List.of(suspect(20)))).isTrue();
+	}
+
+	private static VmCrash suspect(long ageMs) {
+		return new VmCrash("vm", 0, ageMs, Evidence.SUSPECT);
+	}
+
+	private static VmCrash alone(long ageMs) {
+		return new VmCrash("vm", 0, ageMs, Evidence.ONLY_SUSPECT);
+	}
+
+	private static VmCrash bystander(long ageMs) {
+		return new VmCrash("vm", 0, ageMs, Evidence.BYSTANDER);
+	}
+
+}
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -1,5 +1,7 @@
 package org.citronrelay.internal.schedule;
 
+import java.util.List;
+
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.Step;
 import org.citronrelay.internal.batch.TaskId;
@@ -159,6 +161,104 @@
 		assertThat(this.fixture.phase("second")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void aLongRunningTaskThatCrashesItsVmsIsGivenUp() {
+		// when
+		submitCrashing(new Step(1, SchedulerFixture.SMALL, 3_000, List.of(), new Step.Shape(false, false, false, true),
+				Step.Limits.NONE, false));
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
+	@Test
+	void noStepStartsAfterOneWhoseTaskWasGivenUp() {
+		// given
+		Step next = new Step(2, SchedulerFixture.SMALL, 500, List.of(0), Step.Shape.INDEPENDENT, Step.Limits.NONE,
+				false);
+		// when
+		this.fixture.crashingTasks.add(CRASHING);
+		this.fixture.submit(CRASHING.job(), "normal", SchedulerFixture.step(2, SchedulerFixture.SMALL, 3_000), next);
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.effects)
+			.noneMatch((effect) -> effect instanceof Effect.Start start && start.task().step() == 1);
+	}
+
+	@Test
+	void aJobThatIsCancelledWhileItsVmIsDownStaysCancelled() {
+		// given
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(4_000);
+		// when
+		this.fixture.scheduler.cancelRequested("crashing", this.fixture.moment());
+		this.fixture.advanceTime(60_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("CANCELLED");
+		assertThat(this.fixture.startsOf("crashing")).isLessThanOrEqualTo(2);
+	}
+
+	@Test
+	void silenceAndAnnouncedShutdownsAreNoCrashes() {
+		// given
+		this.fixture.submit("job", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 60_000));
+		for (int loss = 0; loss < 8; loss++) {
+			this.fixture.advanceTime(200);
+			FakeVm vm = vmOf("job");
+			// when
+			if (loss % 2 == 0) {
+				vm.remainingMs = 100;
+				this.fixture.scheduler.vmRegistered(vm.registration(), this.fixture.moment());
+				this.fixture.advanceTime(100);
+				vm.crash();
+				this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 500);
+			}
+			else {
+				vm.unreachable = true;
+				this.fixture.advanceTime(12_000);
+				vm.unreachable = false;
+			}
+		}
+		this.fixture.advanceTime(80_000);
+		// then
+		assertThat(this.fixture.effects).noneMatch((effect) -> effect instanceof Effect.VmCrashed);
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
+	@Test
+	void aCrashThatBecomesKnownAfterTheLeaseHasLapsedCounts() {
+		// given
+		this.fixture.submit("job", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 60_000));
+		this.fixture.advanceTime(500);
+		FakeVm vm = vmOf("job");
+		// when
+		vm.unreachable = true;
+		this.fixture.advanceTime(12_000);
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+		vm.crash();
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 500);
+		// then
+		assertThat(this.fixture.effects).anyMatch((effect) -> effect instanceof Effect.VmCrashed crashed
+				&& crashed.reason().contains("job/0/0/0") && crashed.reason().contains("crash 1 under it"));
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+	}
+
+	@Test
+	void aGuardedTaskGetsAVmOfItsOwnWhileItsNeighboursWait() {
+		// given
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 450);
+		assertThat(this.fixture.startsOf("crashing")).isEqualTo(2);
+		// when
+		this.fixture.submit("other", "bulk", SchedulerFixture.step(40, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(20_000);
+		// then
+		assertThat(this.fixture.startsOf("other")).as("none is lost with the VM of the suspect").isEqualTo(40);
+		assertThat(this.fixture.phase("other")).isEqualTo("COMPLETED");
+	}
+
 	private void submitCrashing(Step step) {
 		this.fixture.crashingTasks.add(CRASHING);
 		this.fixture.submit(CRASHING.job(), "normal", step);
