--- a/src/main/java/org/citronrelay/internal/schedule/SuspectRun.java
+++ b/src/main/java/org/citronrelay/internal/schedule/SuspectRun.java
@@ -4,9 +4,9 @@
  * A run that was on a VM when the VM was last known to be alive.
  *
  * @param task the task
- * @param startedAt when the run was first known to run or, if that is not known, was
- * placed, in monotonic milliseconds; {@link #UNKNOWN} for a run of an earlier coordinator
- * that the VM has not listed to this one
+ * @param startedAt when the run was first known to run, in monotonic milliseconds;
+ * {@link #UNKNOWN} if the VM has not confirmed it to this coordinator, so that it may
+ * never have started
  * @param unlikely whether the run is hardly the cause of a crash: it had outlasted its
  * probation, or was placed after the VM had stopped to answer
  */
@@ -20,12 +20,10 @@
 	 * @param failedAt when its VM first did not answer since, in monotonic milliseconds
 	 */
 	static SuspectRun of(TaskState task, long answeredAt, long failedAt) {
-		if (task.inherited) {
-			return new SuspectRun(task, UNKNOWN, false);
-		}
-		boolean placedLater = task.startedAt == 0 && task.placedAt > failedAt;
-		return new SuspectRun(task, (task.startedAt > 0) ? task.startedAt : task.placedAt,
-				placedLater || task.provenAt(answeredAt));
+		boolean confirmed = task.startedAt > 0 && !task.inherited;
+		boolean placedLater = !confirmed && !task.inherited && task.placedAt > failedAt;
+		return new SuspectRun(task, confirmed ? task.startedAt : UNKNOWN,
+				placedLater || (confirmed && task.provenAt(answeredAt)));
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -161,6 +161,24 @@
 		assertThat(this.fixture.phase("second")).isEqualTo("COMPLETED");
 	}
 
+	@Test
+	void aStartThatNeverReachedItsVmDoesNotCountAsACrashRightAfterTheStart() {
+		// given
+		this.fixture.submit("other", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 60_000));
+		this.fixture.advanceTime(300);
+		FakeVm vm = vmOf("other");
+		// when
+		vm.unreachable = true;
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.decide();
+		vm.crash();
+		this.fixture.advanceTime(2 * SchedulerFixture.VM_RESTART_MS + 1_000);
+		// then
+		assertThat(this.fixture.crashesUnder).containsEntry(CRASHING, 2);
+		this.fixture.advanceTime(60_000);
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+	}
+
 	@Test
 	void aLongRunningTaskThatCrashesItsVmsIsGivenUp() {
 		// when
