--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -6,8 +6,16 @@
 
 	private static final int WORKERS = 7;
 
+	private static final int JOBS_BEFORE = 12;
+
+	private static final int JOBS_WHILE_DARK = 8;
+
 	private static final long DARK_MS = 2_500;
 
+	private static final long SHORT_WORK_MS = 100;
+
+	private static final long LONG_WORK_MS = 6_000;
+
 	/** How long a started worker takes until its first write into the store, about half a heartbeat. */
 	private static final long REGISTERS_AFTER_MS = 700;
 
@@ -18,39 +26,55 @@
 	private static boolean run(Deployment deployment, Record record, boolean trouble) throws Exception {
 		for (int i = 1; i <= WORKERS; i++) {
 			deployment.worker("i-0000000" + i, 128_000).registersAfterMs = REGISTERS_AFTER_MS;
+			Thread.sleep(Worker.HEARTBEAT_MS / WORKERS);
 		}
 		deployment.config(List.of(Deployment.route("queue-a", "/queue-a/", 0)));
 		deployment.startEntries(3);
 		Thread.sleep(2_000);
 		List<String> jobs = new ArrayList<>();
-		submit(deployment, jobs);
-		Thread.sleep(700);
-		Worker victim = deployment.workerOf(deployment.runs.getFirst());
+		for (int i = 0; i < JOBS_BEFORE; i++) {
+			submit(deployment, jobs, SHORT_WORK_MS);
+		}
+		Thread.sleep(1_000);
+		Worker victim = deployment.workerOf(deployment.runs.getLast());
+		long darkSince = Record.now();
 		if (trouble) {
 			victim.losePower();
 		}
-		Thread.sleep(300);
-		submit(deployment, jobs);
-		submit(deployment, jobs);
-		Thread.sleep(DARK_MS - 300);
+		Thread.sleep(200);
+		for (int i = 0; i < JOBS_WHILE_DARK; i++) {
+			submit(deployment, jobs, (i % 2 == 0) ? SHORT_WORK_MS : LONG_WORK_MS);
+			Thread.sleep(70);
+		}
+		Thread.sleep(darkSince + DARK_MS - Record.now());
 		if (trouble) {
 			victim.start();
 		}
-		Thread.sleep(20_000);
+		Thread.sleep(25_000);
 		for (String id : jobs) {
 			deployment.entries.getFirst().call("GET", "/queue-a/" + id, null, 3_000);
 		}
+		int broken = 0;
+		for (String id : jobs) {
+			List<Worker.Run> done = deployment.runs.stream()
+				.filter((run) -> run.task.startsWith(id) && run.how.equals("done"))
+				.toList();
+			if (done.size() > 1) {
+				broken++;
+				record.print("TWICE: the work item was done " + done.size() + " times: " + done);
+			}
+		}
 		List<String> overlaps = deployment.overlappingRuns();
 		overlaps.forEach((pair) -> record.print("TWICE: at the same time " + pair));
-		record.print(deployment.runs.size() + " runs of " + jobs.size() + " work items, " + overlaps.size()
-				+ " pairs of runs at the same time");
-		return overlaps.isEmpty();
+		record.print(deployment.runs.size() + " runs of " + jobs.size() + " work items, " + broken
+				+ " work items done twice, " + overlaps.size() + " pairs of runs at the same time");
+		return broken == 0 && overlaps.isEmpty();
 	}
 
-	private static void submit(Deployment deployment, List<String> jobs) {
+	private static void submit(Deployment deployment, List<String> jobs, long workMs) {
 		String id = String.format("%016x", 0xa000 + jobs.size());
 		deployment.entries.get(jobs.size() % deployment.entries.size())
-			.submit("/queue-a/" + id, Deployment.job(6_000, 1, 5_000));
+			.submit("/queue-a/" + id, Deployment.job(workMs, 1, 5_000));
 		jobs.add(id);
 	}
 
