--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -160,15 +161,17 @@
 		}
 	}
 
-	private static int[] freePorts(int count) throws IOException {
-		ServerSocket[] sockets = new ServerSocket[count];
+	/** Returns free ports below those that the operating system gives to outgoing connections. */
+	private static int[] freePorts(int count) {
 		int[] ports = new int[count];
-		for (int i = 0; i < count; i++) {
-			sockets[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-			ports[i] = sockets[i].getLocalPort();
-		}
-		for (ServerSocket socket : sockets) {
-			socket.close();
+		for (int i = 0; i < count;) {
+			int port = ThreadLocalRandom.current().nextInt(10_000, 30_000);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				ports[i++] = socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				// The port is in use; the next one is tried.
+			}
 		}
 		return ports;
 	}
