Do not treat long-running jobs as late or expired

Cause: PlacementRound starts no step of an expired job above that share, and QueueOrder took each job for expired three times its objective after its acceptance, also one that has no end. Evidence: the test below with room on other VMs, so that nothing but the share keeps the task from starting.

--- a/src/main/java/org/citronrelay/internal/schedule/JobState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobState.java
@@ -74,6 +74,13 @@
 		return this.steps.get(occurrence * this.spec.steps().size() + number);
 	}
 
+	/**
+	 * Whether the job runs until it is cancelled, at least some of its tasks.
+	 */
+	boolean longRunning() {
+		return this.spec.steps().stream().anyMatch((step) -> step.shape().longRunning());
+	}
+
 	boolean started() {
 		return this.steps.stream().anyMatch((step) -> !step.neverPlaced());
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
+++ b/src/main/java/org/citronrelay/internal/schedule/QueueOrder.java
@@ -42,12 +42,16 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the urgency of a step. A long-running job has no end that could be late,
+	 * however long it has run.
+	 */
 	private Urgency urgency(StepState step) {
 		JobState job = step.job;
 		long due = job.spec.repeat().dueAt(step.occurrence);
 		long begin = (due > 0) ? due : job.spec.acceptedAtMs();
 		long remainingMs = job.remainingCriticalPathMs(step.occurrence);
-		long end = this.now.wallMs() + (long) (ESTIMATE_FACTOR * remainingMs);
+		long end = job.longRunning() ? Long.MIN_VALUE : this.now.wallMs() + (long) (ESTIMATE_FACTOR * remainingMs);
 		return new Urgency(step, this.guarantees.covers(job), end > begin + (long) (EXPIRY_FACTOR * job.objectiveMs),
 				end > begin + job.objectiveMs, begin + job.objectiveMs - remainingMs);
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -398,6 +398,9 @@
 	 * all of them run.
 	 */
 	private boolean finished(TaskId task, Run run) {
+		if (run.step().shape().longRunning()) {
+			return false;
+		}
 		List<FakeVm> memberVms = run.step().gang() ? membersOf(task, run) : List.of(this);
 		int expected = run.step().gang() ? run.step().count() : 1;
 		long startedAt = memberVms.stream()
@@ -438,6 +441,13 @@
 		this.leaseUntil = this.fixture.now + SchedulerFixture.TIMINGS.longestLeaseMs();
 	}
 
+	/**
+	 * Ends the run of a task as failed.
+	 */
+	void fail(TaskId task) {
+		end(task, this.running.get(task), VmAnswer.EndReason.FAILED);
+	}
+
 	/**
 	 * Ends all runs as if another member of their gangs had ended.
 	 */
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -0,0 +1,77 @@
+package org.citronrelay.internal.schedule;
+
+import java.util.List;
+
+import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.batch.Step;
+import org.citronrelay.internal.batch.TaskId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link ClusterScheduler} with tasks that run until their job is cancelled, in
+ * virtual time.
+ */
+class LongRunningTaskTests {
+
+	private static final Resources ONE_ACCELERATOR = new Resources(2_000, 1_024, 1);
+
+	/** Longer than any job may take to meet its objective. */
+	private static final long LONG_MS = 60_000;
+
+	/** How long a task may have no run while there is room for it, in milliseconds. */
+	private static final long RESTART_MS = 6_000;
+
+	private final SchedulerFixture fixture = new SchedulerFixture();
+
+	/**
+	 * Guards against a task that waits for ever because most of the pool is in use.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "4, 6", "4, 7", "2, 6", "1, 6", "6, 7" })
+	void aTaskThatFailsIsStartedAgainHoweverMuchOfThePoolIsInUse(int vms, int othersPerVm) {
+		// given
+		registerVms(vms, "r1");
+		this.fixture.submit("others", "normal",
+				longRunning(vms * othersPerVm, ONE_ACCELERATOR, new Step.Limits("", "", othersPerVm)));
+		this.fixture.submit("job", "normal", longRunning(1, ONE_ACCELERATOR, Step.Limits.NONE));
+		this.fixture.advanceTime(LONG_MS);
+		// when
+		fail(task("job", 0));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
+	private void registerVms(int count, String rack) {
+		for (int number = 0; number < count; number++) {
+			this.fixture.vm(rack + "-vm" + number, rack);
+		}
+		this.fixture.advanceTime(200);
+	}
+
+	private static Step longRunning(int count, Resources needs, Step.Limits limits) {
+		return new Step(count, needs, 1_000, List.of(), new Step.Shape(false, false, false, true), limits, false);
+	}
+
+	private static TaskId task(String job, int index) {
+		return new TaskId(job, 0, 0, index);
+	}
+
+	private FakeVm vmOf(TaskId task) {
+		return this.fixture.vms.values().stream().filter((vm) -> vm.running.containsKey(task)).findFirst().orElseThrow();
+	}
+
+	private boolean running(TaskId task) {
+		return this.fixture.vms.values().stream().anyMatch((vm) -> vm.running.containsKey(task));
+	}
+
+	private void fail(TaskId task) {
+		vmOf(task).fail(task);
+	}
+
+}
