Let a task return to VMs on which it failed when no other VM has room for it

Cause: a task avoids each VM on which it failed and returns only if no other VM is allowed. VMs counted as allowed that hold another task of a step with a limit per VM, that are full of long-running tasks, or that are too small. For a gang the check was made for each member alone, so that two members could wait for the same VM for ever. Now a VM counts as an alternative only if it will have room once all runs with an end have ended; a gang is checked as a whole. A long-running task, which has any number of attempts, returns after 2 s at the latest, to VMs ranked last. A task with an end still waits for another VM, as its attempts are few.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -103,7 +103,7 @@
 			return;
 		}
 		List<TaskState> waiting = step.waitingTasks();
-		waiting.forEach((task) -> context.placer().clearAvoidedIfNoneAllowed(step, task));
+		context.placer().allowReturnIfNoOtherVm(step, waiting);
 		if (!step.spec.gang() && waiting.stream().anyMatch(TaskState::guarded)) {
 			placeGuarded(step, waiting, context);
 			waiting = step.waitingTasks().stream().filter((task) -> !task.guarded()).toList();
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -111,7 +111,7 @@
 			case NO_ROOM, REJECTED, UNHEALTHY -> {
 				this.outbox.note(task.step.job.id(), "VM refused to start a run",
 						task.id() + " run " + task.run + " on " + task.vm + ": " + answer);
-				task.avoidedVms.add(task.vm);
+				task.avoidedVms.put(task.vm, now.monotonicMs());
 				if (answer == StartAnswer.UNHEALTHY) {
 					quarantine(this.vms.find(task.vm), now);
 				}
@@ -242,7 +242,7 @@
 				this.outbox.note(task.step.job.id(), "Stopping a run that makes no progress",
 						task.id() + " run " + task.run + " on " + vm.id() + " at " + task.percent + "% for "
 								+ (now.monotonicMs() - task.progressedAt) + " ms");
-				task.avoidedVms.add(vm.id());
+				task.avoidedVms.put(vm.id(), now.monotonicMs());
 				quarantine(vm, now);
 				stop(task, RunEndCause.STALLED);
 			}
@@ -356,7 +356,7 @@
 		this.outbox.note(step.job.id(), "Run of a task failed",
 				task.id() + " run " + task.run + " on " + vm.id() + " at " + task.percent + "%, "
 						+ failureCounter.failures + " of " + step.job.maxAttempts + " attempts used");
-		task.avoidedVms.add(vm.id());
+		task.avoidedVms.put(vm.id(), now.monotonicMs());
 		vm.consecutiveFailures++;
 		if (vm.consecutiveFailures >= FAILURES_TO_QUARANTINE) {
 			quarantine(vm, now);
--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -20,6 +20,9 @@
 	/** The largest sum of the free shares of a VM, one for each kind of resource. */
 	private static final int RESOURCE_KINDS = 3;
 
+	/** Larger than the rank of any VM that a task does not avoid. */
+	private static final double AVOIDED_RANK = 1e9;
+
 	private final List<VmCapacity> vmCapacities;
 
 	private final Map<String, List<VmCapacity>> racks = new LinkedHashMap<>();
@@ -110,15 +113,34 @@
 	}
 
 	/**
-	 * Lets a task return to the VMs that it avoids if no other VM is allowed for it.
+	 * Lets waiting tasks return to the VMs that they avoid if no other VM will have room
+	 * for them. The members of a gang need VMs at the same time, so they return together.
 	 */
-	void clearAvoidedIfNoneAllowed(StepState step, TaskState task) {
-		if (!task.avoidedVms.isEmpty()
-				&& this.vmCapacities.stream().noneMatch((vmCapacity) -> allowed(step, task, vmCapacity, 0))) {
+	void allowReturnIfNoOtherVm(StepState step, List<TaskState> waiting) {
+		if (!step.spec.gang()) {
+			waiting.forEach((task) -> allowReturnIfNoOtherVm(step, task));
+		}
+		else if (waiting.stream().anyMatch((task) -> !task.avoidedVms.isEmpty())
+				&& place(step, waiting, VmCapacity::obtainable).isEmpty()) {
+			waiting.forEach((task) -> task.avoidedVms.clear());
+		}
+	}
+
+	private void allowReturnIfNoOtherVm(StepState step, TaskState task) {
+		if (!task.avoidedVms.isEmpty() && this.vmCapacities.stream()
+			.noneMatch((vmCapacity) -> step.spec.taskResources().fits(vmCapacity.obtainable())
+					&& allowed(step, task, vmCapacity, lastingTasks(step, vmCapacity)))) {
 			task.avoidedVms.clear();
 		}
 	}
 
+	/**
+	 * Returns how many tasks of a step stay on a VM.
+	 */
+	private static int lastingTasks(StepState step, VmCapacity vmCapacity) {
+		return step.spec.shape().longRunning() ? placedTasks(step, vmCapacity) : 0;
+	}
+
 	/**
 	 * Whether a step is a gang that has to share a rack: it requires that, and some rack
 	 * is large enough.
@@ -130,8 +152,8 @@
 	static boolean allowed(StepState step, TaskState task, VmCapacity vmCapacity, int placedTasks) {
 		int limit = step.spec.limits().maxPerVm();
 		String label = step.spec.limits().label();
-		return vmCapacity.vm.registration.pool().equals(step.job.pool) && !task.avoidedVms.contains(vmCapacity.vm.id())
-				&& vmCapacity.admits(task) && (limit == 0 || placedTasks < limit)
+		return vmCapacity.vm.registration.pool().equals(step.job.pool) && vmCapacity.admits(task)
+				&& (limit == 0 || placedTasks < limit)
 				&& (label.isEmpty() || vmCapacity.vm.registration.labels().contains(label));
 	}
 
@@ -154,8 +176,7 @@
 						placedOn.computeIfAbsent(vmCapacity, (key) -> placedTasks(step, key)))) {
 					continue;
 				}
-				double freeAfter = freeShares(free.minus(needs), vmCapacity.vm.registration.capacity());
-				double rank = task.guarded() ? freeAfter + RESOURCE_KINDS * vmCapacity.vm.tasks.size() : freeAfter;
+				double rank = rank(task, vmCapacity, free.minus(needs));
 				if (rank < leastRank) {
 					leastRank = rank;
 					best = vmCapacity;
@@ -171,6 +192,18 @@
 		return chosen;
 	}
 
+	/**
+	 * Returns the rank of a VM for a task; the lowest is chosen. Best fit comes first, for
+	 * a guarded task the fewest runs, and VMs on which the task failed come last.
+	 */
+	private static double rank(TaskState task, VmCapacity vmCapacity, Resources freeAfter) {
+		double rank = freeShares(freeAfter, vmCapacity.vm.registration.capacity());
+		if (task.guarded()) {
+			rank += RESOURCE_KINDS * vmCapacity.vm.tasks.size();
+		}
+		return task.avoidedVms.containsKey(vmCapacity.vm.id()) ? rank + AVOIDED_RANK : rank;
+	}
+
 	private static double freeShares(Resources free, Resources capacity) {
 		return share(free.accelerators(), capacity.accelerators()) + share(free.cpuMillis(), capacity.cpuMillis())
 				+ share(free.memoryMb(), capacity.memoryMb());
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -1,9 +1,9 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.TaskId;
@@ -16,6 +16,12 @@
 
 	private static final int ALL_PERCENT = 100;
 
+	/**
+	 * How long a long-running task waits for another VM than one on which it failed, in
+	 * milliseconds. It has any number of attempts, so that a wrong one costs little.
+	 */
+	private static final long LONG_RUNNING_AVOIDANCE_MS = 2_000;
+
 	final StepState step;
 
 	final int index;
@@ -92,10 +98,10 @@
 	long checkpointedAt;
 
 	/**
-	 * The ids of the VMs that failed or refused the task, or on which it made no
-	 * progress.
+	 * The VMs that failed or refused the task, or on which it made no progress, by id,
+	 * with the time of the last such run in monotonic milliseconds.
 	 */
-	final Set<String> avoidedVms = new HashSet<>();
+	final Map<String, Long> avoidedVms = new HashMap<>();
 
 	TaskState(StepState step, int index) {
 		this.step = step;
@@ -151,6 +157,16 @@
 		return this.step.spec.gang() ? this.step : this;
 	}
 
+	/**
+	 * Whether the task waits for another VM rather than start on this one.
+	 * @param now the current time in monotonic milliseconds
+	 */
+	boolean waitsForOtherThan(String vm, long now) {
+		Long failedAt = this.avoidedVms.get(vm);
+		return failedAt != null
+				&& (!this.step.spec.shape().longRunning() || now - failedAt < LONG_RUNNING_AVOIDANCE_MS);
+	}
+
 	Resources needs() {
 		return this.step.spec.taskResources();
 	}
--- a/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
@@ -71,11 +71,27 @@
 	}
 
 	/**
-	 * Whether a task may start here: not beside the guarded run of another one and, if it
-	 * is guarded itself, not beside unproven runs of others while it can wait for a
-	 * better VM.
+	 * Returns the capacity that will be free once all runs have ended that have an end.
+	 */
+	Resources obtainable() {
+		Resources obtainable = this.vm.registration.capacity();
+		for (TaskState task : this.vm.tasks) {
+			if (task.step.spec.shape().longRunning() && task.phase != TaskPhase.STOPPING) {
+				obtainable = obtainable.minus(task.needs());
+			}
+		}
+		return obtainable;
+	}
+
+	/**
+	 * Whether a task may start here: not while it waits for another VM, not beside the
+	 * guarded run of another task and, if it is guarded itself, not beside unproven runs
+	 * of others while it can wait for a better VM.
 	 */
 	boolean admits(TaskState task) {
+		if (task.waitsForOtherThan(this.vm.id(), this.now)) {
+			return false;
+		}
 		if (this.guarded != null) {
 			return this.guarded.equals(task.unit());
 		}
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -47,6 +47,62 @@
 		assertThat(running(task("job", 0))).isTrue();
 	}
 
+	/**
+	 * Guards against a task that avoids the only VM with room for it, as it has failed
+	 * there, while long-running tasks fill all others.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "4, 24", "2, 8", "3, 17" })
+	void aTaskThatFailsReturnsToTheOnlyVmWithRoom(int vms, int others) {
+		// given
+		registerVms(vms, "r1");
+		this.fixture.submit("others", "normal", longRunning(others, ONE_ACCELERATOR, Step.Limits.NONE));
+		this.fixture.submit("job", "normal", longRunning(1, ONE_ACCELERATOR, Step.Limits.NONE));
+		this.fixture.advanceTime(LONG_MS);
+		// when
+		fail(task("job", 0));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
+	/**
+	 * Guards against a task that avoids all VMs that have no other task of its step.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "5, 4, 2", "3, 2, 2", "4, 2, 3", "6, 5, 5" })
+	void aTaskOfAStepThatIsSpreadOverVmsReturnsToOneOnWhichItFailed(int vms, int count, int failures) {
+		// given
+		registerVms(vms, "r1");
+		this.fixture.submit("job", "normal", longRunning(count, ONE_ACCELERATOR, new Step.Limits("", "", 1)));
+		this.fixture.advanceTime(1_000);
+		// when
+		for (int failure = 0; failure < failures; failure++) {
+			fail(task("job", 0));
+			this.fixture.advanceTime(RESTART_MS);
+		}
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
+	/**
+	 * Guards against a task that waits for VMs that other work keeps full.
+	 */
+	@Test
+	void aTaskThatFailsReturnsToItsVmWhenOtherWorkKeepsTheOthersFull() {
+		// given
+		registerVms(2, "r1");
+		this.fixture.submit("busy", "normal", SchedulerFixture.step(8, ONE_ACCELERATOR, LONG_MS));
+		this.fixture.advanceTime(200);
+		this.fixture.submit("job", "normal", longRunning(1, ONE_ACCELERATOR, Step.Limits.NONE));
+		this.fixture.advanceTime(1_000);
+		// when
+		fail(task("job", 0));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
 	private void registerVms(int count, String rack) {
 		for (int number = 0; number < count; number++) {
 			this.fixture.vm(rack + "-vm" + number, rack);
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
@@ -0,0 +1,98 @@
+package org.citronrelay.internal.schedule;
+
+import org.citronrelay.internal.batch.Resources;
+import org.citronrelay.internal.batch.TaskId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of where {@link ClusterScheduler} starts a task again that has failed, in virtual
+ * time.
+ */
+class TaskRetryTests {
+
+	private static final Resources WHOLE_VM = new Resources(100_000, 400_000, 8);
+
+	private static final Resources HALF_SIZE = new Resources(64_000, 256_000, 4);
+
+	private final SchedulerFixture fixture = new SchedulerFixture();
+
+	/**
+	 * Guards against a task that waits for VMs that are too small for it.
+	 */
+	@Test
+	void aTaskThatFailedOnEachLargeVmReturnsToThem() {
+		// given
+		this.fixture.vm("large1", "r1");
+		this.fixture.vm("large2", "r1");
+		for (int number = 0; number < 3; number++) {
+			this.fixture.vm("small" + number, "r2").resize(HALF_SIZE);
+		}
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, WHOLE_VM, 2_000));
+		// when
+		for (int failure = 0; failure < 2; failure++) {
+			this.fixture.advanceTime(1_000);
+			fail(task("job", 0));
+		}
+		this.fixture.advanceTime(6_000);
+		// then
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
+	/**
+	 * Guards against a gang of which two members wait for the same VM.
+	 */
+	@Test
+	void aGangWhoseMembersFailedOnOneVmStartsAgain() {
+		// given
+		FakeVm first = this.fixture.vm("vm1", "r1");
+		this.fixture.vm("vm2", "r1");
+		this.fixture.submit("gang", "normal", SchedulerFixture.gang(2, WHOLE_VM, 2_000, true));
+		// when each member fails once on the same VM
+		for (int failure = 0; failure < 2; failure++) {
+			this.fixture.advanceTime(1_000);
+			first.fail(first.running.keySet().iterator().next());
+		}
+		this.fixture.advanceTime(15_000);
+		// then
+		assertThat(this.fixture.phase("gang")).isEqualTo("COMPLETED");
+	}
+
+	/**
+	 * A task has few attempts: it does not spend them on a VM that fails all of its work
+	 * while another one can take it later.
+	 */
+	@Test
+	void aTaskWithAnEndWaitsForAnotherVmRatherThanReturnToOneOnWhichItFailed() {
+		// given
+		FakeVm busy = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("busy", "normal", SchedulerFixture.step(8, SchedulerFixture.SMALL, 8_000));
+		this.fixture.advanceTime(500);
+		FakeVm failing = this.fixture.vm("vm2", "r1");
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 1_000));
+		this.fixture.advanceTime(500);
+		assertThat(failing.running).containsKey(task("job", 0));
+		// when
+		failing.failing = true;
+		this.fixture.advanceTime(15_000);
+		// then
+		assertThat(busy.running).doesNotContainKey(task("busy", 0));
+		assertThat(this.fixture.startsOf("job")).isEqualTo(2);
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
+	private static TaskId task(String job, int index) {
+		return new TaskId(job, 0, 0, index);
+	}
+
+	private void fail(TaskId task) {
+		this.fixture.vms.values()
+			.stream()
+			.filter((vm) -> vm.running.containsKey(task))
+			.findFirst()
+			.orElseThrow()
+			.fail(task);
+	}
+
+}
