Start expired jobs beside long-running tasks that hold most of a pool

Capacity that such tasks take is no longer counted, neither as used nor as capacity: what the share protects is room that becomes free for later jobs.

On installations without long-running tasks the share is as before.

--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -87,7 +87,8 @@
 
 	/**
 	 * Returns the share of a pool's capacity that is in use, of its scarcest resource.
-	 * Reserved capacity counts as free.
+	 * Reserved capacity counts as free. What long-running tasks take is left out, as it
+	 * does not become free for other work.
 	 */
 	double usage(String pool) {
 		return this.usages.computeIfAbsent(pool, this::computeUsage);
@@ -105,7 +106,7 @@
 		Resources free = Resources.NONE;
 		for (VmCapacity vmCapacity : this.vmCapacities) {
 			if (vmCapacity.vm.registration.pool().equals(pool)) {
-				capacity = capacity.plus(vmCapacity.vm.registration.capacity());
+				capacity = capacity.plus(vmCapacity.obtainable());
 				free = free.plus(vmCapacity.free).plus(vmCapacity.reserved);
 			}
 		}
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -103,6 +103,24 @@
 		assertThat(running(task("job", 0))).isTrue();
 	}
 
+	/**
+	 * Guards against jobs that never start because long-running tasks hold most of the
+	 * pool.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 24, 29 })
+	void anExpiredJobStartsBesideLongRunningTasksThatHoldMostOfThePool(int others) {
+		// given a job that expires while there are no VMs
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 1_000));
+		this.fixture.submit("others", "urgent", longRunning(others, ONE_ACCELERATOR, Step.Limits.NONE));
+		this.fixture.advanceTime(LONG_MS);
+		// when
+		registerVms(4, "r1");
+		this.fixture.advanceTime(5_000);
+		// then
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
 	private void registerVms(int count, String rack) {
 		for (int number = 0; number < count; number++) {
 			this.fixture.vm(rack + "-vm" + number, rack);
