Let long-running steps use VMs outside their preferred rack after a wait

After the usual wait for preferred VMs such a step now takes any: running slower is better than not running.

Tests: aTaskStartsOutsideTheRackWithItsDataIfThatIsFull and aGangIsSpreadOverRacksThatOtherLongRunningTasksShare failed before. tasksThatLostTheirVmsInCrashesAreStartedAgain passed before: guarded starts do not keep such tasks waiting.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -137,14 +137,14 @@
 
 	/**
 	 * Whether a step may use VMs on which it runs slower: its job has expired, or it has
-	 * waited long enough for its preferred VMs and is within its guarantee or most of the
-	 * pool is free.
+	 * waited long enough for its preferred VMs and is long-running, within its guarantee
+	 * or most of the pool is free.
 	 */
 	private static boolean acceptsAnyVm(Urgency urgency, Context context) {
 		StepState step = urgency.step();
 		boolean stillWaiting = context.now().monotonicMs() - step.waitingSince < PREFERRED_VMS_WAIT_MS;
-		return urgency.expired()
-				|| (!stillWaiting && (urgency.guaranteed() || context.placer().usage(step.job.pool) < LOW_USAGE));
+		return urgency.expired() || (!stillWaiting && (urgency.guaranteed() || step.spec.shape().longRunning()
+				|| context.placer().usage(step.job.pool) < LOW_USAGE));
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -20,6 +20,8 @@
 
 	private static final Resources ONE_ACCELERATOR = new Resources(2_000, 1_024, 1);
 
+	private static final Resources WHOLE_VM = new Resources(100_000, 400_000, 8);
+
 	/** Longer than any job may take to meet its objective. */
 	private static final long LONG_MS = 60_000;
 
@@ -121,6 +123,65 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against a task that waits for ever for the rack with its data.
+	 */
+	@Test
+	void aTaskStartsOutsideTheRackWithItsDataIfThatIsFull() {
+		// given
+		registerVms(1, "r1");
+		registerVms(1, "r2");
+		this.fixture.submit("full", "normal", longRunning(8, ONE_ACCELERATOR, new Step.Limits("", "r1", 0)));
+		this.fixture.submit("others", "normal", longRunning(4, ONE_ACCELERATOR, new Step.Limits("", "r2", 0)));
+		this.fixture.advanceTime(LONG_MS);
+		// when
+		this.fixture.submit("job", "normal", longRunning(1, ONE_ACCELERATOR, new Step.Limits("", "r1", 0)));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
+	/**
+	 * Guards against a gang that waits for ever for a rack of its own.
+	 */
+	@Test
+	void aGangIsSpreadOverRacksThatOtherLongRunningTasksShare() {
+		// given two racks with one VM in use each
+		registerVms(2, "r1");
+		registerVms(2, "r2");
+		this.fixture.submit("first", "normal", longRunning(1, WHOLE_VM, new Step.Limits("", "r1", 0)));
+		this.fixture.submit("second", "normal", longRunning(1, WHOLE_VM, new Step.Limits("", "r2", 0)));
+		this.fixture.advanceTime(1_000);
+		// when
+		this.fixture.submit("gang", "normal", new Step(2, WHOLE_VM, 1_000, List.of(),
+				new Step.Shape(true, true, false, true), Step.Limits.NONE, false));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("gang", 0))).isTrue();
+		assertThat(running(task("gang", 1))).isTrue();
+	}
+
+	/**
+	 * Guards against tasks that wait while VMs are kept for others that may crash them.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "3, 6, 2", "3, 6, 3", "4, 20, 2" })
+	void tasksThatLostTheirVmsInCrashesAreStartedAgain(int vms, int count, int crashes) {
+		// given tasks that have run for long
+		registerVms(vms, "r1");
+		this.fixture.submit("job", "normal", longRunning(count, ONE_ACCELERATOR, Step.Limits.NONE));
+		// when VMs crash under them from time to time
+		for (int crash = 0; crash < crashes; crash++) {
+			this.fixture.advanceTime(LONG_MS);
+			vmOf(task("job", 0)).crash();
+		}
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 3_000 + RESTART_MS);
+		// then
+		for (int index = 0; index < count; index++) {
+			assertThat(running(task("job", index))).as("task " + index).isTrue();
+		}
+	}
+
 	private void registerVms(int count, String rack) {
 		for (int number = 0; number < count; number++) {
 			this.fixture.vm(rack + "-vm" + number, rack);
