Restart long-running tasks on reserved capacity after 3 s

A task that has had a run may now take reserved capacity after 3 s; it had its room before, and the gang reserves elsewhere or again. Tasks that never ran wait in their order.

Test: aTaskThatFailsIsStartedAgainOnCapacityThatIsReservedForAGang failed before.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -40,10 +40,19 @@
 	 */
 	private static final long PREFERRED_VMS_WAIT_MS = 1_500;
 
+	/**
+	 * How long a long-running task that had a run waits before it may take capacity that
+	 * is reserved for others, in milliseconds.
+	 */
+	private static final long RESTART_WAIT_MS = 3_000;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private static final Function<VmCapacity, Resources> FREE = (vmCapacity) -> vmCapacity.free;
 
+	private static final Function<VmCapacity, Resources> FREE_OR_RESERVED = (vmCapacity) -> vmCapacity.free
+		.plus(vmCapacity.reserved);
+
 	private static final Function<VmCapacity, Resources> FREE_SOON = (vmCapacity) -> vmCapacity.freeSoon;
 
 	private final VmRegistry vms;
@@ -113,6 +122,7 @@
 		if (!unplaced.isEmpty() && anyVm) {
 			unplaced = place(step, unplaced, context.placer().placeAnywhere(step, unplaced, FREE), context);
 		}
+		unplaced = restartOnReserved(step, unplaced, context);
 		if (unplaced.isEmpty()) {
 			step.waitingSince = step.waitingTasks().isEmpty() ? 0 : step.waitingSince;
 		}
@@ -135,6 +145,23 @@
 		}
 	}
 
+	/**
+	 * Places long-running tasks whose runs have ended where capacity is reserved for
+	 * other steps. Such a reservation can last as long as the runs of others do. Returns
+	 * the tasks that are not placed.
+	 */
+	private List<TaskState> restartOnReserved(StepState step, List<TaskState> unplaced, Context context) {
+		boolean waitedLong = context.now().monotonicMs() - step.waitingSince >= RESTART_WAIT_MS;
+		if (!step.spec.shape().longRunning() || !waitedLong) {
+			return unplaced;
+		}
+		List<TaskState> restarts = unplaced.stream().filter((task) -> task.run > 0).toList();
+		if (!restarts.isEmpty()) {
+			place(step, restarts, context.placer().placeAnywhere(step, restarts, FREE_OR_RESERVED), context);
+		}
+		return unplaced.stream().filter((task) -> task.phase == TaskPhase.WAITING).toList();
+	}
+
 	/**
 	 * Whether a step may use VMs on which it runs slower: its job has expired, or it has
 	 * waited long enough for its preferred VMs and is long-running, within its guarantee
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -20,6 +20,10 @@
 
 	private static final Resources ONE_ACCELERATOR = new Resources(2_000, 1_024, 1);
 
+	private static final Resources TWO_ACCELERATORS = new Resources(2_000, 1_024, 2);
+
+	private static final Resources SEVEN_ACCELERATORS = new Resources(2_000, 1_024, 7);
+
 	private static final Resources WHOLE_VM = new Resources(100_000, 400_000, 8);
 
 	/** Longer than any job may take to meet its objective. */
@@ -161,6 +165,26 @@
 		assertThat(running(task("gang", 1))).isTrue();
 	}
 
+	/**
+	 * Guards against a task that waits while its own capacity is reserved for others.
+	 */
+	@Test
+	void aTaskThatFailsIsStartedAgainOnCapacityThatIsReservedForAGang() {
+		// given a gang that waits for a run to end
+		registerVms(2, "r1");
+		this.fixture.submit("busy", "bulk", SchedulerFixture.step(1, SEVEN_ACCELERATORS, LONG_MS));
+		this.fixture.advanceTime(200);
+		this.fixture.submit("job", "bulk", longRunning(1, TWO_ACCELERATORS, Step.Limits.NONE));
+		this.fixture.advanceTime(1_000);
+		this.fixture.submit("gang", "normal", SchedulerFixture.gang(2, SEVEN_ACCELERATORS, LONG_MS, true));
+		this.fixture.advanceTime(1_000);
+		// when
+		fail(task("job", 0));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
 	/**
 	 * Guards against tasks that wait while VMs are kept for others that may crash them.
 	 */
