--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -194,8 +194,8 @@
 	}
 
 	/**
-	 * Returns the rank of a VM for a task; the lowest is chosen. Best fit comes first, for
-	 * a guarded task the fewest runs, and VMs on which the task failed come last.
+	 * Returns the rank of a VM for a task; the lowest is chosen. Best fit comes first,
+	 * for a guarded task the fewest runs, and VMs on which the task failed come last.
 	 */
 	private static double rank(TaskState task, VmCapacity vmCapacity, Resources freeAfter) {
 		double rank = freeShares(freeAfter, vmCapacity.vm.registration.capacity());
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -222,7 +222,11 @@
 	}
 
 	private FakeVm vmOf(TaskId task) {
-		return this.fixture.vms.values().stream().filter((vm) -> vm.running.containsKey(task)).findFirst().orElseThrow();
+		return this.fixture.vms.values()
+			.stream()
+			.filter((vm) -> vm.running.containsKey(task))
+			.findFirst()
+			.orElseThrow();
 	}
 
 	private boolean running(TaskId task) {
