Withdraw a start that a VM was not told when the VM falls silent

Cause: a task that is placed and whose placement is not stored yet gets no start command; if its VM is lost in that time, no run of it can lapse, and the task stays assigned to a VM that never returns. The task is now taken back when the VM does not answer, as nothing was sent for it.

Related paths looked at: a start that was commanded (lapses with the lease), a run of an earlier coordinator (lapses with the term), a VM that was replaced or restarted (all of its runs are lost at once).

--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -203,7 +203,8 @@
 			}
 			this.lifecycle.stopStalledRuns(vm, now);
 			this.lifecycle.evacuate(vm, now);
-			StartWithdrawal.excess(vm).forEach(this.lifecycle::withdraw);
+			StartWithdrawal.excess(vm).forEach((task) -> this.lifecycle.withdraw(task, RunEndCause.NO_CAPACITY));
+			StartWithdrawal.unstarted(vm).forEach((task) -> this.lifecycle.withdraw(task, RunEndCause.VM_LOST));
 			if (leadershipConfirmed) {
 				this.lifecycle.issueCommands(vm, now);
 			}
--- a/src/main/java/org/citronrelay/internal/schedule/StartWithdrawal.java
+++ b/src/main/java/org/citronrelay/internal/schedule/StartWithdrawal.java
@@ -7,19 +7,28 @@
 import org.citronrelay.internal.batch.Resources;
 
 /**
- * Chooses the starts to withdraw from a VM that has become too small for them.
+ * Chooses the starts to withdraw from a VM that has become too small for them, or that
+ * has stopped to answer.
  *
  * <p>
- * Load pattern: the capacity of a VM shrinks between the placement of a task and its
- * start, or before the command is repeated. Runs that have started go on, and so do those
- * of an earlier coordinator, which may have; runs that are being stopped still take their
- * room.
+ * Load pattern: the capacity of a VM shrinks, or the VM is lost, between the placement of
+ * a task and its start, or before the command is repeated. Runs that have started go on,
+ * and so do those of an earlier coordinator, which may have; runs that are being stopped
+ * still take their room.
  */
 final class StartWithdrawal {
 
 	private StartWithdrawal() {
 	}
 
+	/**
+	 * Returns the tasks that a silent VM was not told to start. No lease covers them, so
+	 * that they would wait for the VM to return.
+	 */
+	static List<TaskState> unstarted(VmState vm) {
+		return vm.unanswered ? vm.tasks.stream().filter((task) -> !task.mayHaveStarted()).toList() : List.of();
+	}
+
 	/**
 	 * Returns the placed tasks, newest first, without which the rest fits; all of them if
 	 * the rest does not fit even then.
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -210,7 +210,7 @@
 	 * issued is released at once.
 	 */
 	void stop(TaskState task, RunEndCause cause) {
-		if (task.phase == TaskPhase.PLACED && !task.recorded && task.commandIssuedAt == 0) {
+		if (!task.mayHaveStarted()) {
 			release(task);
 			task.step.job.unstored = true;
 			requeue(task);
@@ -224,12 +224,12 @@
 	}
 
 	/**
-	 * Withdraws a task from a VM whose capacity has shrunk before the task has started.
+	 * Withdraws a task from a VM before the task is known to have started.
 	 */
-	void withdraw(TaskState task) {
-		this.outbox.note(task.step.job.id(), "Withdrawing a start as its VM has shrunk",
-				task.id() + " run " + task.run + " on " + task.vm);
-		stop(task, RunEndCause.NO_CAPACITY);
+	void withdraw(TaskState task, RunEndCause cause) {
+		this.outbox.note(task.step.job.id(), "Withdrawing a start",
+				task.id() + " run " + task.run + " on " + task.vm + ": " + cause);
+		stop(task, cause);
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
@@ -3,6 +3,8 @@
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.TaskId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -82,6 +84,32 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against a task that stays assigned to a VM that is gone, as no start was
+	 * commanded there and so no run of it can lapse.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aTaskWhoseVmIsLostBeforeItsStartIsPlacedElsewhere(boolean deregistered) {
+		// given a task that is placed while the store refuses writes
+		FakeVm lost = this.fixture.vm("vm1", "r1");
+		this.fixture.advanceTime(500);
+		this.fixture.refuseWrites = true;
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 1_000));
+		this.fixture.advanceTime(200);
+		// when its VM loses power before the write succeeds
+		lost.losePower();
+		if (deregistered) {
+			this.fixture.scheduler.vmDeregistered(lost.id, this.fixture.moment());
+		}
+		this.fixture.advanceTime(1_000);
+		this.fixture.refuseWrites = false;
+		this.fixture.vm("vm2", "r1");
+		this.fixture.advanceTime(20_000);
+		// then
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
 	private static TaskId task(String job, int index) {
 		return new TaskId(job, 0, 0, index);
 	}
