Do not take a draining VM for shut down without an answer

Now only an answer of another instance or the lapse of the lease ends these runs; evacuation keeps them few.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -218,7 +218,7 @@
 			case JobRemoved removed -> this.scheduler.jobRemoved(removed.job());
 			case VmRegistered registered -> ErrorBoundary.run("apply a registration",
 					() -> this.scheduler.vmRegistered(registered.registration(), now));
-			case VmDeregistered deregistered -> this.scheduler.vmDeregistered(deregistered.vm(), now);
+			case VmDeregistered deregistered -> this.scheduler.vmDeregistered(deregistered.vm());
 			case CatalogueChanged changed -> this.scheduler.catalogue(changed.catalogue());
 			case RenewalEnded renewal -> renewalEnded(renewal, now);
 			case StartAnswered answered -> startAnswered(answered, now);
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -130,10 +130,10 @@
 
 	/**
 	 * Records that a VM is no longer registered. Its runs count as running until its
-	 * lease has lapsed or the VM is known to have shut down.
+	 * lease has lapsed or another instance has answered in its place.
 	 */
-	public void vmDeregistered(String vm, Moment now) {
-		this.vms.deregistered(vm, now);
+	public void vmDeregistered(String vm) {
+		this.vms.deregistered(vm);
 	}
 
 	/**
@@ -158,8 +158,6 @@
 				this.vms.replaced(vm, "another instance answered at its address", now)
 					.ifPresent((lost) -> this.lostInstances.handle(lost, now));
 			}
-			this.vms.runsEndedByShutdown(vm, absence)
-				.forEach((task) -> this.lifecycle.runLost(task, now, RunEndCause.VM_LOST, "the VM has shut down"));
 		});
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmAbsence.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmAbsence.java
@@ -5,13 +5,8 @@
  */
 public enum VmAbsence {
 
-	/** Nothing: the VM may be slow, cut off or gone. */
+	/** Nothing: the VM may be slow, cut off or gone, also if it refuses connections. */
 	UNKNOWN,
-	/**
-	 * The host refused the connection: the VM is gone, or a network partition resets
-	 * connections.
-	 */
-	REFUSED,
 	/** Another instance answered at the address, so the VM is gone. */
 	REPLACED
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmRegistry.java
@@ -22,12 +22,6 @@
 	 */
 	private static final Address UNKNOWN_ADDRESS = new Address("0.0.0.0", 1);
 
-	/**
-	 * A registration that disappears within this many heartbeats of the last answer of
-	 * its VM, which is draining, was removed by the VM itself.
-	 */
-	private static final double SELF_REMOVAL_HEARTBEATS = 1.5;
-
 	/**
 	 * The factor by which a lease may outlast its nominal length, because the clock of a
 	 * VM may run slow.
@@ -81,7 +75,6 @@
 		VmState vm = this.vms.computeIfAbsent(registration.id(), (id) -> new VmState(registration));
 		if (registration.boot() >= vm.registration.boot()) {
 			vm.registered = true;
-			vm.removedItself = false;
 			if (vm.answeredAt > 0 && registration.boot() > vm.registration.boot()) {
 				if (vm.successor == null || vm.successor.boot() != registration.boot()) {
 					doubted.add(vm);
@@ -186,31 +179,16 @@
 	}
 
 	/**
-	 * Records that a VM is no longer registered. The registration of an unreachable VM
-	 * lapses after three heartbeats; one that disappears within half of that time after
-	 * the last answer was removed by the VM itself at its shutdown, if that was
-	 * announced. Otherwise the VM may have lost its connection to the store only.
+	 * Records that a VM is no longer registered. That does not prove that it has shut
+	 * down, even if it had announced that: it may have lost its connection to the store.
 	 */
-	void deregistered(String id, Moment now) {
+	void deregistered(String id) {
 		VmState vm = this.vms.get(id);
 		if (vm != null) {
 			vm.registered = false;
-			vm.removedItself = vm.registration.draining() && vm.answeredAt > 0
-					&& now.monotonicMs() - vm.answeredAt <= SELF_REMOVAL_HEARTBEATS * this.timings.heartbeatMs();
 		}
 	}
 
-	/**
-	 * Returns the runs that have ended because their VM has shut down: it removed its
-	 * registration and is absent from its address. Only both together prove it: behind a
-	 * network partition the registration of a VM may lapse, and connections to it may be
-	 * refused, while its runs continue.
-	 */
-	List<TaskState> runsEndedByShutdown(VmState vm, VmAbsence absence) {
-		boolean absent = absence != VmAbsence.UNKNOWN;
-		return (absent && vm.removedItself && !vm.registered) ? List.copyOf(vm.tasks) : List.of();
-	}
-
 	/**
 	 * Returns the VM to which a renewal was the last one, empty if it has been overtaken.
 	 */
--- a/src/main/java/org/citronrelay/internal/schedule/VmState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmState.java
@@ -96,12 +96,6 @@
 	/** The time until which the VM gets no new tasks, in monotonic milliseconds. */
 	long quarantinedUntil;
 
-	/**
-	 * Whether the VM removed its registration itself: it disappeared sooner than the
-	 * registration of an unreachable VM would have lapsed.
-	 */
-	boolean removedItself;
-
 	/** Whether another instance runs at the VM's address, so that the VM is gone. */
 	boolean replaced;
 
--- a/src/main/java/org/citronrelay/platform/PlatformWorkerClient.java
+++ b/src/main/java/org/citronrelay/platform/PlatformWorkerClient.java
@@ -86,8 +86,7 @@
 			case Exchange.Answered answered when answered.reply().status() == OK -> vmAnswer(answered.reply());
 			case Exchange.Answered answered -> Either.left(new NoAnswer("status " + answered.reply().status(),
 					(answered.reply().status() == MISDIRECTED_REQUEST) ? VmAbsence.REPLACED : VmAbsence.UNKNOWN));
-			case Exchange.NotSent notSent ->
-				Either.left(new NoAnswer(notSent.reason(), notSent.refused() ? VmAbsence.REFUSED : VmAbsence.UNKNOWN));
+			case Exchange.NotSent notSent -> Either.left(new NoAnswer(notSent.reason(), VmAbsence.UNKNOWN));
 			case Exchange.Broken broken -> Either.left(new NoAnswer(broken.reason(), VmAbsence.UNKNOWN));
 		};
 	}
