Wait for the end of a run whose VM has accepted its stop but lists it no longer

A VM that leaves it out had the task started elsewhere while it still ran, and its capacity given away. Not shown with real processes: only the test's VM does it. A run that has started is now ruled out by its absence only once the time of a stop has passed.

--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -173,13 +173,13 @@
 	}
 
 	/**
-	 * Records that a VM has carried out a stop command, after which the run can no longer
+	 * Records that a VM has accepted a stop command, after which the run can no longer
 	 * start.
 	 */
 	public void stopAnswered(TaskId id, long run, Moment now) {
 		TaskState task = task(id);
 		if (task != null && task.run == run && task.phase == TaskPhase.STOPPING) {
-			task.startRuledOut(now);
+			this.lifecycle.stopAccepted(task, now);
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/LostInstanceHandler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/LostInstanceHandler.java
@@ -64,8 +64,9 @@
 		task.phase = TaskPhase.STOPPING;
 		task.stopCause = cause;
 		task.commandIssuedAt = 0;
-		task.cannotStartSince = 0;
+		task.ruledOutFrom = 0;
 		task.listed = false;
+		task.startedAt = 0;
 		task.step.job.unstored = true;
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -63,7 +63,7 @@
 		task.commandIssuedAt = 0;
 		task.startIssuedAt = 0;
 		task.listed = false;
-		task.cannotStartSince = 0;
+		task.ruledOutFrom = 0;
 		task.recorded = false;
 		task.inherited = false;
 		task.stopCause = null;
@@ -106,7 +106,7 @@
 	void startAnswered(TaskState task, StartAnswer answer, Moment now) {
 		switch (answer) {
 			case STARTED -> runStarted(task, now);
-			case OUTDATED -> task.startRuledOut(now);
+			case OUTDATED -> task.ruledOutFrom(now);
 			case LATE -> task.commandIssuedAt = now.monotonicMs() - this.timings.retryMs();
 			case NO_ROOM, REJECTED, UNHEALTHY -> {
 				this.outbox.note(task.step.job.id(), "VM refused to start a run",
@@ -122,6 +122,15 @@
 		}
 	}
 
+	/**
+	 * Records that a VM has accepted a stop. A run that has started may go on for the
+	 * time that a stop takes, whether the VM lists it or not.
+	 */
+	void stopAccepted(TaskState task, Moment now) {
+		boolean started = task.listed || task.startedAt > 0;
+		task.ruledOutFrom(started ? now.plus(this.timings.stopGraceMs()) : now);
+	}
+
 	void runListed(TaskState task, VmAnswer.Running running, Moment now) {
 		task.listed = true;
 		if (task.phase == TaskPhase.PLACED) {
--- a/src/main/java/org/citronrelay/internal/schedule/TaskState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskState.java
@@ -72,10 +72,10 @@
 	boolean listed;
 
 	/**
-	 * When it became known that the VM will not start this run any more, in monotonic
-	 * milliseconds; 0 while it may start.
+	 * From when on the VM does not run this run unless it lists it, in monotonic
+	 * milliseconds; 0 while the run may still start.
 	 */
-	long cannotStartSince;
+	long ruledOutFrom;
 
 	/**
 	 * Whether an earlier coordinator placed this run and its VM has not listed it to this
@@ -128,10 +128,11 @@
 	 * Records that the VM will not start this run any more. The first time counts, also
 	 * if a repeated command confirms it again: a renewal sent after it tells whether the
 	 * run exists.
+	 * @param from when a run that has started will have ended
 	 */
-	void startRuledOut(Moment now) {
-		if (this.cannotStartSince == 0) {
-			this.cannotStartSince = now.monotonicMs();
+	void ruledOutFrom(Moment from) {
+		if (this.ruledOutFrom == 0) {
+			this.ruledOutFrom = from.monotonicMs();
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmAnswerHandler.java
@@ -64,7 +64,7 @@
 		task.percent = 0;
 		task.progressedAt = now.monotonicMs();
 		task.startedAt = (task.listed && task.startedAt > 0) ? now.monotonicMs() : task.startedAt;
-		task.cannotStartSince = 0;
+		task.ruledOutFrom = 0;
 		task.step.job.unstored = true;
 	}
 
@@ -141,7 +141,7 @@
 	 * longer obeys.
 	 */
 	private void handleMissing(TaskState task, long sentAt, Moment now) {
-		boolean cannotStart = task.cannotStartSince > 0 && task.cannotStartSince <= sentAt;
+		boolean cannotStart = task.ruledOutFrom > 0 && task.ruledOutFrom <= sentAt;
 		boolean inherited = task.inherited && task.phase != TaskPhase.RUNNING;
 		if (cannotStart || inherited) {
 			this.lifecycle.runLost(task, now,
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -82,6 +82,9 @@
 	/** How long a stopped run goes on, in milliseconds. */
 	long stopGraceMs;
 
+	/** Whether runs that were told to stop are not listed while they go on. */
+	boolean hidingStoppedRuns;
+
 	/** When runs that were told to stop will have stopped. */
 	private final Map<TaskId, Long> stopsAt = new HashMap<>();
 
@@ -356,6 +359,7 @@
 	 */
 	void reboot() {
 		this.boot++;
+		this.running.keySet().forEach((task) -> this.fixture.rebootsUnder.merge(task, 1, Integer::sum));
 		Map.copyOf(this.running).forEach((task, run) -> end(task, run, VmAnswer.EndReason.LAPSED));
 		this.running.clear();
 		this.ended.clear();
@@ -491,7 +495,11 @@
 
 	private VmAnswer answer() {
 		List<VmAnswer.Running> list = new ArrayList<>();
-		this.running.forEach((task, run) -> list.add(new VmAnswer.Running(task, run.number(), "", percent(task, run))));
+		this.running.forEach((task, run) -> {
+			if (!this.hidingStoppedRuns || !this.stopsAt.containsKey(task)) {
+				list.add(new VmAnswer.Running(task, run.number(), "", percent(task, run)));
+			}
+		});
 		return new VmAnswer(this.boot, this.fixture.now, list, this.ended);
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
@@ -110,6 +110,29 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against two runs of a task whose VM confirms a stop before the run has ended
+	 * and lists it no longer.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 200, 900 })
+	void aRunThatIsBeingStoppedIsNotStartedElsewhereBeforeItHasEnded(long stopGraceMs) {
+		// given
+		FakeVm stopping = this.fixture.vm("vm1", "r1");
+		stopping.hidingStoppedRuns = true;
+		stopping.stopGraceMs = stopGraceMs;
+		this.fixture.submit("bulk", "bulk", SchedulerFixture.step(8, SchedulerFixture.SMALL, 20_000));
+		this.fixture.advanceTime(1_000);
+		// when urgent work preempts it and another VM has room
+		this.fixture.submit("urgent", "urgent", SchedulerFixture.step(1, WHOLE_VM, 20_000));
+		this.fixture.advanceTime(100);
+		this.fixture.vm("vm2", "r1");
+		this.fixture.advanceTime(3_000);
+		// then
+		assertThat(this.fixture.startsOf("bulk")).isEqualTo(16);
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
 	private static TaskId task(String job, int index) {
 		return new TaskId(job, 0, 0, index);
 	}
