Remove the setting and the flag that only the inferred shutdown used

coordination.heartbeatMs of the cluster settings and the flag of a refused connection have no reader left.

--- a/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterSettings.java
@@ -81,7 +81,6 @@
 				cursor.longInteger("retryMs", 50, 10_000, defaults.retryMs()),
 				cursor.longInteger("stallMs", 500, 600_000, defaults.stallMs()),
 				cursor.longInteger("gangWaitMs", 100, 600_000, defaults.gangWaitMs()),
-				cursor.longInteger("heartbeatMs", 100, 600_000, defaults.heartbeatMs()),
 				cursor.longInteger("stopGraceMs", 0, 60_000, defaults.stopGraceMs()),
 				cursor.longInteger("benchMs", 100, 600_000, defaults.quarantineMs()));
 		cursor.rejectUnknownFields();
@@ -119,20 +118,19 @@
 	 * @param retryMs how long until an unanswered command is sent again
 	 * @param stallMs how long a task may make no progress before it is moved
 	 * @param gangWaitMs how long a VM lets a member of a gang wait for the other members
-	 * @param heartbeatMs how often a VM renews its registration
 	 * @param stopGraceMs how long a VM may take to stop a run
 	 * @param quarantineMs how long a failing VM gets no new tasks
 	 */
 	public record Coordination(long termMs, long leaseMs, long longestLeaseMs, long renewWaitMs, long retryMs,
-			long stallMs, long gangWaitMs, long heartbeatMs, long stopGraceMs, long quarantineMs) {
+			long stallMs, long gangWaitMs, long stopGraceMs, long quarantineMs) {
 
 		/** The defaults of settings that a file leaves out. */
 		public static final Coordination DEFAULT = new Coordination(2_000, 10_000, 10_000, 1_500, 400, 3_500, 3_000,
-				1_500, 1_000, 5_000);
+				1_000, 5_000);
 
 		ScheduleTimings timings() {
 			return new ScheduleTimings(this.leaseMs, this.longestLeaseMs, this.renewWaitMs, this.retryMs, this.stallMs,
-					this.gangWaitMs, this.heartbeatMs, this.stopGraceMs, this.quarantineMs);
+					this.gangWaitMs, this.stopGraceMs, this.quarantineMs);
 		}
 
 	}
--- a/src/main/java/org/citronrelay/internal/http/Exchange.java
+++ b/src/main/java/org/citronrelay/internal/http/Exchange.java
@@ -24,23 +24,13 @@
 	 * No byte of the call was sent.
 	 *
 	 * @param reason why it was not sent
-	 * @param refused whether the host refused the connection because no process listens
-	 * on the port
 	 */
-	record NotSent(String reason, boolean refused) implements Exchange {
+	record NotSent(String reason) implements Exchange {
 
 		public NotSent {
 			Objects.requireNonNull(reason, "reason");
 		}
 
-		/**
-		 * Creates the result of a call that was not sent for another reason than a
-		 * refused connection.
-		 */
-		public NotSent(String reason) {
-			this(reason, false);
-		}
-
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ConnectException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -109,8 +108,7 @@
 			connection = connection(address, freshOnly, timeoutMs);
 		}
 		catch (IOException ex) {
-			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage(),
-					ex.getCause() instanceof ConnectException);
+			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage());
 		}
 		PendingAnswer pending = PendingAnswer.attach(connection);
 		connection.write(request(address, call));
--- a/src/main/java/org/citronrelay/internal/schedule/ScheduleTimings.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ScheduleTimings.java
@@ -10,10 +10,9 @@
  * @param stallMs how long a run may make no progress, beyond a tenth of its estimate,
  * before it is stopped and its task moved
  * @param gangWaitMs how long VMs let a member of a gang wait for the others
- * @param heartbeatMs how often a VM renews its registration
  * @param stopGraceMs how long a VM may take to stop a run
  * @param quarantineMs how long a quarantined VM gets no new tasks
  */
 public record ScheduleTimings(long leaseMs, long longestLeaseMs, long renewWaitMs, long retryMs, long stallMs,
-		long gangWaitMs, long heartbeatMs, long stopGraceMs, long quarantineMs) {
+		long gangWaitMs, long stopGraceMs, long quarantineMs) {
 }
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -195,7 +195,7 @@
 		this.unreachable = true;
 		this.refusingConnections = true;
 		this.restartsAt = this.fixture.now + SchedulerFixture.VM_RESTART_MS;
-		this.registrationLapsesAt = this.fixture.now + 3 * SchedulerFixture.TIMINGS.heartbeatMs();
+		this.registrationLapsesAt = this.fixture.now + SchedulerFixture.REGISTRATION_LAPSE_MS;
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -22,8 +22,10 @@
  */
 final class SchedulerFixture {
 
-	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_500, 1_000,
-			5_000);
+	static final ScheduleTimings TIMINGS = new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_000, 5_000);
+
+	/** How long a VM may be silent before its registration lapses, in milliseconds. */
+	static final long REGISTRATION_LAPSE_MS = 4_500;
 
 	static final Resources CAPACITY = new Resources(128_000, 512_000, 8);
 
