--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -359,7 +359,6 @@
 	 */
 	void reboot() {
 		this.boot++;
-		this.running.keySet().forEach((task) -> this.fixture.rebootsUnder.merge(task, 1, Integer::sum));
 		Map.copyOf(this.running).forEach((task, run) -> end(task, run, VmAnswer.EndReason.LAPSED));
 		this.running.clear();
 		this.ended.clear();
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -50,9 +50,6 @@
 	/** How many VMs have crashed because of a task. */
 	final Map<TaskId, Integer> crashesUnder = new HashMap<>();
 
-	/** How many VMs have lost their state while they ran a task. */
-	final Map<TaskId, Integer> rebootsUnder = new HashMap<>();
-
 	/** How long after its start a task crashes its VM, in milliseconds. */
 	long crashDelayMs;
 
@@ -212,16 +209,6 @@
 		}
 	}
 
-	/**
-	 * Whether two VMs or more were lost under a task of a job, so that it may be given up
-	 * as their cause.
-	 */
-	boolean mayBeGivenUp(String job) {
-		return this.rebootsUnder.entrySet()
-			.stream()
-			.anyMatch((entry) -> entry.getKey().job().equals(job) && entry.getValue() > 1);
-	}
-
 	String phase(String job) {
 		return this.progress.containsKey(job) ? ProgressCodec.phase(this.progress.get(job)).name() : "QUEUED";
 	}
