--- /dev/null
+++ b/src/main/java/org/citronrelay/internal/build/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which build of the program is running.
+ */
+package org.citronrelay.internal.build;
--- a/src/main/java/org/citronrelay/internal/cli/ProcessCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/ProcessCommands.java
@@ -14,6 +14,7 @@
 import org.apache.commons.cli.Options;
 import org.citronrelay.Findings;
 import org.citronrelay.internal.bench.BenchmarkRunner;
+import org.citronrelay.internal.build.BuildInfo;
 import org.citronrelay.internal.cluster.ClusterProcess;
 import org.citronrelay.internal.cluster.ClusterSettings;
 import org.citronrelay.internal.demo.Demo;
@@ -66,8 +67,8 @@
 						this::demo),
 				new Command("bench", "GROUP", "Runs the benchmarks of a group: decisions, path or capacity.",
 						new Options(), this::bench),
-				new Command("version", "", "Prints the version.", new Options().addOption(Flags.outputOption()),
-						this::version));
+				new Command("version", "", "Prints the version and the build; also --version.",
+						new Options().addOption(Flags.outputOption()), this::version));
 	}
 
 	private int entry(CommandLine line) {
@@ -202,10 +203,10 @@
 	}
 
 	private int version(CommandLine line) throws UsageException {
-		String manifestVersion = Program.class.getPackage().getImplementationVersion();
-		String version = (manifestVersion != null) ? manifestVersion : "unpackaged";
-		this.out.println(Flags.isJsonOutput(line) ? Json.pretty(Json.object().put("version", version))
-				: "citronrelay " + version);
+		BuildInfo build = BuildInfo.ofThisProcess();
+		this.out.println(Flags.isJsonOutput(line)
+				? Json.pretty(Json.object().put("version", build.version()).put("build", build.digest()))
+				: "citronrelay " + build);
 		return 0;
 	}
 
--- a/src/main/java/org/citronrelay/internal/cli/Program.java
+++ b/src/main/java/org/citronrelay/internal/cli/Program.java
@@ -83,7 +83,7 @@
 	}
 
 	private Option<Command> find(String[] arguments) {
-		String words = String.join(" ", firstTwo(arguments));
+		String words = String.join(" ", firstTwo(arguments)).replaceFirst("^--version\\b", "version");
 		return Option.ofOptional(this.commands.stream()
 			.filter((command) -> words.equals(command.name()) || words.startsWith(command.name() + " "))
 			.max(Comparator.comparingInt((command) -> command.name().length())));
--- a/src/main/java/org/citronrelay/internal/cli/StandInCommands.java
+++ b/src/main/java/org/citronrelay/internal/cli/StandInCommands.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.citronrelay.internal.build.BuildInfo;
 import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.platform.HttpVmList;
@@ -79,7 +80,7 @@
 	}
 
 	private int runUntilStopped(String role) {
-		this.out.println("Running the stand-in for the " + role + ".");
+		this.out.println("Running the stand-in for the " + role + ", version " + BuildInfo.ofThisProcess() + ".");
 		this.out.flush();
 		try {
 			Thread.currentThread().join();
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterMetrics.java
@@ -9,6 +9,7 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.citronrelay.internal.build.BuildInfo;
 import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.schedule.JobPhase;
 import org.citronrelay.internal.schedule.RunEndCause;
@@ -102,6 +103,13 @@
 		Gauge.builder("citronrelay.catalogue.version", catalogueVersion::get).register(this.registry);
 	}
 
+	/**
+	 * Registers the metric that names the build.
+	 */
+	void registerBuild(BuildInfo build) {
+		build.register(this.registry);
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 */
--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.citronrelay.internal.build.BuildInfo;
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.http.HttpEndpoint;
@@ -116,9 +117,14 @@
 		this.peers.start(this.store);
 		new StoreProbe(this.route, this.adapter.storeRead(StoreKeys.COORDINATOR), this.executor).start();
 		Thread.ofPlatform().name("coordinator").daemon().start(this.election);
+		// Reading the program file takes some time, in which callers are served already.
+		BuildInfo build = BuildInfo.ofThisProcess();
+		this.metrics.registerBuild(build);
 		Part.ENTRY.logger()
 			.atInfo()
 			.addKeyValue("process", this.settings.process())
+			.addKeyValue("version", build.version())
+			.addKeyValue("build", build.digest())
 			.addKeyValue("callerAddress", this.settings.listen().callers())
 			.log("The process has started and listens for callers.");
 	}
--- a/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
+++ b/src/main/java/org/citronrelay/internal/entry/EntryProcess.java
@@ -18,6 +18,7 @@
 import org.citronrelay.internal.api.JobApi.HolderLink;
 import org.citronrelay.internal.api.JobService;
 import org.citronrelay.internal.api.Router;
+import org.citronrelay.internal.build.BuildInfo;
 import org.citronrelay.internal.catalogue.AppliedCatalogue;
 import org.citronrelay.internal.catalogue.CatalogueStore;
 import org.citronrelay.internal.claim.AtMostOnceExecutor;
@@ -195,9 +196,11 @@
 		Thread.ofVirtual().name("catalogue-watch").start(this::watchCatalogue);
 		this.holder.start();
 		this.started = true;
+		BuildInfo build = BuildInfo.ofThisProcess();
+		build.register(this.registry);
 		Part.ENTRY.logger()
-			.info("Entry process started: failure domain {}, callers at {}, peers at {}, process id {}.",
-					this.settings.failureDomain(), this.settings.http(), this.settings.peers(), this.processId);
+			.info("Entry process started: version {}, failure domain {}, callers at {}, peers at {}, process id {}.",
+					build, this.settings.failureDomain(), this.settings.http(), this.settings.peers(), this.processId);
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/build/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the name of a build.
+ */
+package org.citronrelay.internal.build;
--- /dev/null
+++ b/src/test/java/org/citronrelay/internal/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the command line.
+ */
+package org.citronrelay.internal.cli;
