--- /dev/null
+++ b/src/test/java/org/citronrelay/build/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the scripts that build the program.
+ */
+package org.citronrelay.build;
