Let tasks start beside suspects that have run for some seconds

What callers would see: tasks wait for minutes or hours while VMs have room, also long-running ones that have failed (LOST). Cause: after two crashes of VMs under it, a task is on probation for as long as it had run before, and during that time its VM takes nothing else.

A suspect now keeps others away for 5 s at most, below the 6 s after which a long-running task has to be placed again. It stays on probation as long as before, so what a crash says about it is unchanged.

aTaskStartsBesideOthersThatMayHaveCrashedVmsAfterALongTime failed for both kinds of tasks before. New beside it: a long-running task that crashes its VMs 1 to 20 s after its start, among 3,000 waiting tasks, is still given up after five crashes at most; passed before, too.

--- a/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
+++ b/src/main/java/org/citronrelay/internal/schedule/VmCapacity.java
@@ -18,6 +18,13 @@
 	 */
 	private static final long GUARD_PATIENCE_MS = 1_500;
 
+	/**
+	 * How long a guarded run keeps others from starting beside it at most, in
+	 * milliseconds. Its probation can last as long as a run did before a crash, which is
+	 * without a bound for a long-running task.
+	 */
+	private static final long MAX_EXCLUSION_MS = 5_000;
+
 	final VmState vm;
 
 	private final long now;
@@ -25,7 +32,7 @@
 	/** The tasks and gangs with runs on probation. */
 	private final Set<Object> unproven = new HashSet<>();
 
-	/** The guarded one of them, null if there is none. */
+	/** The guarded one of them that keeps others away, null if there is none. */
 	private Object guarded;
 
 	/** The capacity that is free now. */
@@ -63,11 +70,13 @@
 	}
 
 	/**
-	 * Records a task that was placed here in this round.
+	 * Records a task that was placed here and is on probation.
 	 */
 	void placed(TaskState task) {
 		this.unproven.add(task.unit());
-		this.guarded = task.guarded() ? task.unit() : this.guarded;
+		if (task.guarded() && this.now - task.placedAt < MAX_EXCLUSION_MS) {
+			this.guarded = task.unit();
+		}
 	}
 
 	/**
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -206,6 +206,30 @@
 		}
 	}
 
+	/**
+	 * Guards against VMs that take no other work for as long as a task had run on VMs
+	 * that crashed under it.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void aTaskStartsBesideOthersThatMayHaveCrashedVmsAfterALongTime(boolean longRunning) {
+		// given two tasks under each of which VMs have crashed twice
+		registerVms(2, "r1");
+		this.fixture.submit("suspects", "normal", longRunning(2, ONE_ACCELERATOR, new Step.Limits("", "", 1)));
+		for (int crash = 0; crash < 2; crash++) {
+			this.fixture.advanceTime(2 * LONG_MS);
+			List.of(vmOf(task("suspects", 0)), vmOf(task("suspects", 1))).forEach(FakeVm::crash);
+		}
+		this.fixture.advanceTime(2 * RESTART_MS);
+		assertThat(running(task("suspects", 0))).isTrue();
+		// when
+		this.fixture.submit("job", "normal", longRunning ? longRunning(1, ONE_ACCELERATOR, Step.Limits.NONE)
+				: SchedulerFixture.step(1, ONE_ACCELERATOR, LONG_MS));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
 	private void registerVms(int count, String rack) {
 		for (int number = 0; number < count; number++) {
 			this.fixture.vm(rack + "-vm" + number, rack);
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -47,6 +47,26 @@
 		assertThat(this.fixture.phase("other")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against a task that is started without end because others start beside it
+	 * before it crashes its VM.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1_000, 4_000, 6_000, 8_000, 20_000 })
+	void aLongRunningTaskThatCrashesItsVmsIsGivenUpBesideOthersThatWait(long crashDelayMs) {
+		// given
+		this.fixture.crashDelayMs = crashDelayMs;
+		submitCrashing(new Step(1, SchedulerFixture.SMALL, 1_000, List.of(), new Step.Shape(false, false, false, true),
+				Step.Limits.NONE, false));
+		this.fixture.advanceTime(500);
+		// when
+		this.fixture.submit("others", "bulk", SchedulerFixture.step(3_000, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(300_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
 	void runsThatWereLostInACrashStartAgainOnceAnotherInstanceRunsThere(boolean sameId) {
