Restart long-running suspects on reserved capacity, too

What callers would see: a long-running task whose VM has crashed once, at any time before, fails later and waits for as long as a gang waits with a reservation, with VMs idle (LOST).

aTaskThatLostAVmInACrashIsStartedAgainOnCapacityThatIsReservedForAGang failed before.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -140,7 +140,9 @@
 	private void placeGuarded(StepState step, List<TaskState> waiting, Context context) {
 		for (TaskState task : waiting) {
 			if (task.guarded()) {
-				place(step, List.of(task), context.placer().placeAnywhere(step, List.of(task), FREE), context);
+				List<TaskState> unplaced = place(step, List.of(task),
+						context.placer().placeAnywhere(step, List.of(task), FREE), context);
+				restartOnReserved(step, unplaced, context);
 			}
 		}
 	}
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningTaskTests.java
@@ -206,6 +206,30 @@
 		}
 	}
 
+	/**
+	 * Guards against a task that waits while its own capacity is reserved for others,
+	 * because it may have crashed a VM earlier.
+	 */
+	@Test
+	void aTaskThatLostAVmInACrashIsStartedAgainOnCapacityThatIsReservedForAGang() {
+		// given a task whose VM has crashed once, and a gang that waits for a run to end
+		registerVms(2, "r1");
+		this.fixture.submit("busy", "bulk", SchedulerFixture.step(1, SEVEN_ACCELERATORS, 2 * LONG_MS));
+		this.fixture.advanceTime(200);
+		this.fixture.submit("job", "bulk", longRunning(1, TWO_ACCELERATORS, Step.Limits.NONE));
+		this.fixture.advanceTime(10_000);
+		vmOf(task("job", 0)).crash();
+		this.fixture.advanceTime(2 * RESTART_MS);
+		assertThat(running(task("job", 0))).isTrue();
+		this.fixture.submit("gang", "normal", SchedulerFixture.gang(2, SEVEN_ACCELERATORS, LONG_MS, true));
+		this.fixture.advanceTime(1_000);
+		// when
+		fail(task("job", 0));
+		this.fixture.advanceTime(RESTART_MS);
+		// then
+		assertThat(running(task("job", 0))).isTrue();
+	}
+
 	/**
 	 * Guards against VMs that take no other work for as long as a task had run on VMs
 	 * that crashed under it.
