Place the siblings of a task that waits for another VM

Cause: the tasks of a step are tried in order, and the first without a VM ended the search. That is right only for tasks that differ in nothing; one that avoids VMs or is guarded is now left out, and the search goes on.

--- a/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
+++ b/src/main/java/org/citronrelay/internal/schedule/PlacementRound.java
@@ -177,25 +177,23 @@
 	}
 
 	/**
-	 * Assigns the chosen VMs to the first tasks of a list. Returns the other tasks.
+	 * Assigns the chosen VMs to their tasks. Returns the waiting tasks without one.
 	 */
-	private List<TaskState> place(StepState step, List<TaskState> waiting, List<VmCapacity> chosen, Context context) {
+	private List<TaskState> place(StepState step, List<TaskState> waiting, Map<TaskState, VmCapacity> chosen,
+			Context context) {
 		long run = step.spec.gang() ? step.nextRunNumber(waiting.getFirst()) : 0;
-		for (int index = 0; index < chosen.size(); index++) {
-			TaskState task = waiting.get(index);
-			chosen.get(index).allocate(task.needs());
-			this.lifecycle.place(task, chosen.get(index).vm, step.spec.gang() ? run : step.nextRunNumber(task),
-					context.now());
-			chosen.get(index).placed(task);
-		}
+		chosen.forEach((task, vmCapacity) -> {
+			vmCapacity.allocate(task.needs());
+			this.lifecycle.place(task, vmCapacity.vm, step.spec.gang() ? run : step.nextRunNumber(task), context.now());
+			vmCapacity.placed(task);
+		});
 		if (!chosen.isEmpty()) {
 			context.placer().discardUsage();
-			this.outbox.note(step.job.id(), "Placed tasks of a step",
-					"step " + step.number + ": " + chosen.size() + " of " + waiting.size() + " tasks on "
-							+ tasksByVm(chosen) + ", " + (context.now().wallMs() - step.job.spec.acceptedAtMs())
-							+ " ms after the job was accepted");
+			this.outbox.note(step.job.id(), "Placed tasks of a step", "step " + step.number + ": " + chosen.size()
+					+ " of " + waiting.size() + " tasks on " + tasksByVm(chosen.values()) + ", "
+					+ (context.now().wallMs() - step.job.spec.acceptedAtMs()) + " ms after the job was accepted");
 		}
-		return waiting.subList(chosen.size(), waiting.size());
+		return waiting.stream().filter((task) -> !chosen.containsKey(task)).toList();
 	}
 
 	/**
@@ -209,12 +207,12 @@
 	 */
 	private boolean secureCapacity(Urgency urgency, List<TaskState> unplaced, boolean anyVm, Context context) {
 		StepState step = urgency.step();
-		List<VmCapacity> freedSoon = context.placer().place(step, unplaced, FREE_SOON);
+		Map<TaskState, VmCapacity> freedSoon = context.placer().place(step, unplaced, FREE_SOON);
 		if (freedSoon.size() < unplaced.size() && anyVm) {
 			freedSoon = context.placer().placeAnywhere(step, unplaced, FREE_SOON);
 		}
 		if (freedSoon.size() == unplaced.size()) {
-			claim(urgency, freedSoon);
+			claim(urgency, freedSoon.values());
 			return true;
 		}
 		boolean guaranteed = urgency.guaranteed();
@@ -244,7 +242,7 @@
 	 * Takes the capacity that is being freed for a step. An urgent step keeps it in later
 	 * rounds, other steps leave it to work that becomes more urgent.
 	 */
-	private static void claim(Urgency urgency, List<VmCapacity> targets) {
+	private static void claim(Urgency urgency, Collection<VmCapacity> targets) {
 		StepState step = urgency.step();
 		targets.forEach((vmCapacity) -> vmCapacity.allocate(step.spec.taskResources()));
 		if (urgency.guaranteed() || (step.job.priority == 0 && !urgency.late())) {
@@ -252,7 +250,7 @@
 		}
 	}
 
-	private static Map<String, Integer> tasksByVm(List<VmCapacity> chosen) {
+	private static Map<String, Integer> tasksByVm(Collection<VmCapacity> chosen) {
 		Map<String, Integer> counts = new HashMap<>();
 		chosen.forEach((vmCapacity) -> counts.merge(vmCapacity.vm.id(), 1, Integer::sum));
 		return counts;
--- a/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskPlacer.java
@@ -38,21 +38,21 @@
 
 	/**
 	 * Returns a VM for each of the tasks, in their order. Where capacity is short, it
-	 * returns fewer VMs, for a gang none. A gang that needs a single rack gets the rack
-	 * with the least capacity left of those that can hold it.
+	 * leaves tasks out, of a gang all. A gang that needs a single rack gets the rack with
+	 * the least capacity left of those that can hold it.
 	 * @param available the capacity of a VM that may be used
 	 */
-	List<VmCapacity> place(StepState step, List<TaskState> tasks, Function<VmCapacity, Resources> available) {
+	Map<TaskState, VmCapacity> place(StepState step, List<TaskState> tasks, Function<VmCapacity, Resources> available) {
 		if (!step.spec.gang()) {
 			return choose(step, tasks, preferredVms(step), available);
 		}
 		if (!requiresSingleRack(step)) {
 			return placeAnywhere(step, tasks, available);
 		}
-		List<VmCapacity> best = List.of();
+		Map<TaskState, VmCapacity> best = Map.of();
 		double least = Double.MAX_VALUE;
 		for (List<VmCapacity> rack : this.racks.values()) {
-			List<VmCapacity> chosen = allOrNone(choose(step, tasks, rack, available), tasks.size());
+			Map<TaskState, VmCapacity> chosen = allOrNone(choose(step, tasks, rack, available), tasks.size());
 			double left = totalFreeShares(rack, available);
 			if (!chosen.isEmpty() && left < least) {
 				least = left;
@@ -66,8 +66,9 @@
 	 * As {@link #place}, but also on VMs where the tasks run slower: spread over several
 	 * racks, or outside the rack with their data.
 	 */
-	List<VmCapacity> placeAnywhere(StepState step, List<TaskState> tasks, Function<VmCapacity, Resources> available) {
-		List<VmCapacity> chosen = choose(step, tasks, this.vmCapacities, available);
+	Map<TaskState, VmCapacity> placeAnywhere(StepState step, List<TaskState> tasks,
+			Function<VmCapacity, Resources> available) {
+		Map<TaskState, VmCapacity> chosen = choose(step, tasks, this.vmCapacities, available);
 		return step.spec.gang() ? allOrNone(chosen, tasks.size()) : chosen;
 	}
 
@@ -162,11 +163,15 @@
 		return (int) vmCapacity.vm.tasks.stream().filter((task) -> task.step == step).count();
 	}
 
-	private List<VmCapacity> choose(StepState step, List<TaskState> tasks, List<VmCapacity> candidates,
+	/**
+	 * Chooses a VM for each task that fits. The tasks of a step have the same needs, so
+	 * if one fits nowhere, none does, unless it waits for another VM or is guarded.
+	 */
+	private Map<TaskState, VmCapacity> choose(StepState step, List<TaskState> tasks, List<VmCapacity> candidates,
 			Function<VmCapacity, Resources> available) {
 		Map<VmCapacity, Resources> left = new HashMap<>();
 		Map<VmCapacity, Integer> placedOn = new HashMap<>();
-		List<VmCapacity> chosen = new ArrayList<>();
+		Map<TaskState, VmCapacity> chosen = new LinkedHashMap<>();
 		Resources needs = step.spec.taskResources();
 		for (TaskState task : tasks) {
 			VmCapacity best = null;
@@ -183,12 +188,15 @@
 					best = vmCapacity;
 				}
 			}
-			if (best == null) {
+			if (best == null && task.avoidedVms.isEmpty() && !task.guarded()) {
 				break;
 			}
+			if (best == null) {
+				continue;
+			}
 			left.put(best, left.getOrDefault(best, available.apply(best)).minus(needs));
 			placedOn.merge(best, 1, Integer::sum);
-			chosen.add(best);
+			chosen.put(task, best);
 		}
 		return chosen;
 	}
@@ -214,8 +222,8 @@
 		return (total > 0) ? (double) part / total : 0;
 	}
 
-	private static List<VmCapacity> allOrNone(List<VmCapacity> chosen, int wanted) {
-		return (chosen.size() == wanted) ? chosen : List.of();
+	private static Map<TaskState, VmCapacity> allOrNone(Map<TaskState, VmCapacity> chosen, int wanted) {
+		return (chosen.size() == wanted) ? chosen : Map.of();
 	}
 
 	private static double totalFreeShares(List<VmCapacity> rack, Function<VmCapacity, Resources> available) {
--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -451,6 +451,13 @@
 		end(task, this.running.get(task), VmAnswer.EndReason.FAILED);
 	}
 
+	/**
+	 * Ends all runs as stopped.
+	 */
+	void stopAll() {
+		Map.copyOf(this.running).forEach((task, run) -> end(task, run, VmAnswer.EndReason.STOPPED));
+	}
+
 	/**
 	 * Ends all runs as if another member of their gangs had ended.
 	 */
--- a/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
@@ -84,6 +84,30 @@
 		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against tasks that wait although VMs are free, as another task of their step
+	 * waits for a VM on which it has not failed.
+	 */
+	@Test
+	void aTaskThatWaitsForAnotherVmDoesNotHoldUpItsSiblings() {
+		// given a task that has failed on the only VM with room
+		FakeVm busy = this.fixture.vm("vm1", "r1");
+		this.fixture.submit("busy", "normal", SchedulerFixture.step(8, SchedulerFixture.SMALL, 60_000));
+		this.fixture.advanceTime(500);
+		FakeVm free = this.fixture.vm("vm2", "r1");
+		this.fixture.submit("job", "normal", SchedulerFixture.step(3, SchedulerFixture.SMALL, 20_000));
+		this.fixture.advanceTime(500);
+		fail(task("job", 0));
+		this.fixture.advanceTime(500);
+		assertThat(free.running).doesNotContainKey(task("job", 0));
+		assertThat(busy.running).doesNotContainKey(task("job", 0));
+		// when the others lose their runs
+		free.stopAll();
+		this.fixture.advanceTime(2_000);
+		// then
+		assertThat(free.running).containsKeys(task("job", 1), task("job", 2));
+	}
+
 	/**
 	 * Guards against a task that stays assigned to a VM that is gone, as no start was
 	 * commanded there and so no run of it can lapse.
