Count each recorded crash once when progress is read again

Cause: a coordinator that cannot list the VMs reads jobs and progress again, and decoding added the recorded crashes to those that were there.

progressThatIsReadTwiceHasEachCrashOnce failed before (two crashes in place of one).

--- a/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
@@ -107,6 +107,8 @@
 		task.boot = node.path(4).asLong();
 		task.checkpoint = node.path(5).asText();
 		task.address = Address.parse(node.path(6).asText()).getOrNull();
+		// A coordinator reads the progress again if it could not read the VMs after it.
+		task.crashes.clear();
 		node.path(7).forEach((row) -> task.crashes.add(decodeCrash(row)));
 		task.recorded = true;
 		task.inherited = task.phase.occupiesCapacity();
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.Resources;
 import org.citronrelay.internal.batch.Step;
 import org.citronrelay.internal.batch.TaskId;
@@ -276,6 +277,25 @@
 		assertThat(this.fixture.startsOf("crashing")).isLessThanOrEqualTo(2);
 	}
 
+	/**
+	 * Guards against a job that is given up too early, as each crash counted twice after
+	 * a coordinator had read the progress again.
+	 */
+	@Test
+	void progressThatIsReadTwiceHasEachCrashOnce() {
+		// given a job under which a VM has crashed
+		BatchJob spec = this.fixture.submit("job", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 20_000));
+		this.fixture.advanceTime(3_000);
+		vmOf("job").crash();
+		this.fixture.advanceTime(SchedulerFixture.VM_RESTART_MS + 500);
+		// when
+		JobState job = new JobState(spec);
+		ProgressCodec.decode(this.fixture.progress.get("job"), job);
+		ProgressCodec.decode(this.fixture.progress.get("job"), job);
+		// then
+		assertThat(job.step(0, 0).tasks.getFirst().crashes).hasSize(1);
+	}
+
 	@Test
 	void silenceAndAnnouncedShutdownsAreNoCrashes() {
 		// given
