--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningFaultTests.java
@@ -64,11 +64,13 @@
 				clearFaults(fixture);
 				fixture.advanceTime(CALM_MS);
 				waits.addAll(waitsWithRoom(fixture));
+				waits.addAll(jobsWithoutRuns(fixture));
 			}
 		}
 		clearFaults(fixture);
 		fixture.advanceTime(CALM_MS);
 		waits.addAll(waitsWithRoom(fixture));
+		waits.addAll(jobsWithoutRuns(fixture));
 		// then
 		assertThat(waits).isEmpty();
 		assertThat(fixture.violations).isEmpty();
@@ -158,6 +160,37 @@
 		return waits;
 	}
 
+	/**
+	 * Returns the jobs with an end that run nothing, with room for them twice over, while
+	 * less than half of the pool is in use.
+	 */
+	private static List<String> jobsWithoutRuns(SchedulerFixture fixture) {
+		Resources capacity = Resources.NONE;
+		Resources free = Resources.NONE;
+		for (FakeVm vm : fixture.vms.values()) {
+			if (!vm.unreachable && !vm.replaced) {
+				capacity = capacity.plus(vm.capacity);
+				free = free.plus(vm.free());
+			}
+		}
+		if (capacity.minus(free).dominantShare(capacity) >= 0.5) {
+			return List.of();
+		}
+		List<String> waits = new ArrayList<>();
+		fixture.jobs.forEach((id, job) -> {
+			Step step = job.steps().getFirst();
+			boolean runs = fixture.vms.values()
+				.stream()
+				.anyMatch((vm) -> vm.running.keySet().stream().anyMatch((task) -> task.job().equals(id)));
+			long room = fixture.vms.values().stream().mapToLong((vm) -> room(vm, id, step)).sum();
+			if (!step.shape().longRunning() && !runs && List.of("QUEUED", "RUNNING").contains(fixture.phase(id))
+					&& room >= 2L * (step.gang() ? step.count() : 1)) {
+				waits.add(fixture.now + ": job " + id + " waits with room for " + room + ": " + step);
+			}
+		});
+		return waits;
+	}
+
 	private static long room(FakeVm vm, String job, Step step) {
 		if (vm.unreachable || vm.replaced) {
 			return 0;
