Withdraw starts that a VM does not confirm

What callers would see: a task never starts, with other VMs free, because the VM that it was placed on answers renewals but neither answers nor carries out the command to start it (LOST). The command was repeated there without end.

After twice the time after which a run without progress is stopped (7 s as deployed) the start is stopped and the task avoids that VM. As the command may take effect just before the stop, the run counts for as long as a stop takes; without that, one of seven delays of aTaskThatIsStartedLateAfterAllRunsOnce gave two runs at once.

aTaskWhoseStartIsNeverAnsweredIsPlacedElsewhere failed before. A VM that answers neither starts nor stops but renewals is still waited for.

--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -42,6 +42,8 @@
 
 	private final Outbox outbox = new Outbox();
 
+	private final ScheduleTimings timings;
+
 	private Map<String, Queue> queues = Map.of();
 
 	private QueueCatalogue catalogue = QueueCatalogue.NONE;
@@ -50,6 +52,7 @@
 	 * Creates the scheduler of a coordinator whose term starts now.
 	 */
 	public ClusterScheduler(ScheduleTimings timings, Moment now) {
+		this.timings = timings;
 		this.vms = new VmRegistry(timings, now);
 		this.lifecycle = new TaskLifecycle(this.vms, this.outbox, timings);
 		this.lostInstances = new LostInstanceHandler(this.lifecycle, this.outbox);
@@ -203,6 +206,10 @@
 			this.lifecycle.evacuate(vm, now);
 			StartWithdrawal.excess(vm).forEach((task) -> this.lifecycle.withdraw(task, RunEndCause.NO_CAPACITY));
 			StartWithdrawal.unstarted(vm).forEach((task) -> this.lifecycle.withdraw(task, RunEndCause.VM_LOST));
+			StartWithdrawal.unconfirmed(vm, this.timings.stallMs(), now).forEach((task) -> {
+				task.avoidedVms.put(vm.id(), now.monotonicMs());
+				this.lifecycle.withdraw(task, RunEndCause.STALLED);
+			});
 			if (leadershipConfirmed) {
 				this.lifecycle.issueCommands(vm, now);
 			}
--- a/src/main/java/org/citronrelay/internal/schedule/StartWithdrawal.java
+++ b/src/main/java/org/citronrelay/internal/schedule/StartWithdrawal.java
@@ -7,17 +7,24 @@
 import org.citronrelay.internal.batch.Resources;
 
 /**
- * Chooses the starts to withdraw from a VM that has become too small for them, or that
- * has stopped to answer.
+ * Chooses the starts to withdraw from a VM that has become too small for them, that has
+ * stopped to answer, or that answers but does not start them.
  *
  * <p>
  * Load pattern: the capacity of a VM shrinks, or the VM is lost, between the placement of
- * a task and its start, or before the command is repeated. Runs that have started go on,
- * and so do those of an earlier coordinator, which may have; runs that are being stopped
- * still take their room.
+ * a task and its start, or before the command is repeated; or start commands get no
+ * answer and have no effect. Runs that have started go on, and so do those of an earlier
+ * coordinator, which may have; runs that are being stopped still take their room.
  */
 final class StartWithdrawal {
 
+	/**
+	 * How long a VM that answers renewals may take to start a task, in times without
+	 * progress after which a run is stopped. A command without an answer may still take
+	 * effect after some seconds.
+	 */
+	private static final int START_PATIENCE = 2;
+
 	private StartWithdrawal() {
 	}
 
@@ -29,6 +36,21 @@
 		return vm.unanswered ? vm.tasks.stream().filter((task) -> !task.mayHaveStarted()).toList() : List.of();
 	}
 
+	/**
+	 * Returns the tasks that the VM was told to start and has not listed for a long time.
+	 * @param stallMs the time without progress after which a run is stopped, in
+	 * milliseconds
+	 */
+	static List<TaskState> unconfirmed(VmState vm, long stallMs, Moment now) {
+		if (!vm.reachable()) {
+			return List.of();
+		}
+		return vm.tasks.stream()
+			.filter((task) -> task.phase == TaskPhase.PLACED && task.startIssuedAt > 0
+					&& now.monotonicMs() - task.placedAt > START_PATIENCE * stallMs)
+			.toList();
+	}
+
 	/**
 	 * Returns the placed tasks, newest first, without which the rest fits; all of them if
 	 * the rest does not fit even then.
--- a/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
+++ b/src/main/java/org/citronrelay/internal/schedule/TaskLifecycle.java
@@ -124,10 +124,11 @@
 
 	/**
 	 * Records that a VM has accepted a stop. A run that has started may go on for the
-	 * time that a stop takes, whether the VM lists it or not.
+	 * time that a stop takes, whether the VM lists it or not. One that was withdrawn
+	 * because its start was not confirmed may have started in the meantime.
 	 */
 	void stopAccepted(TaskState task, Moment now) {
-		boolean started = task.listed || task.startedAt > 0;
+		boolean started = task.listed || task.startedAt > 0 || task.stopCause == RunEndCause.STALLED;
 		task.ruledOutFrom(started ? now.plus(this.timings.stopGraceMs()) : now);
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/LongRunningFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/LongRunningFaultTests.java
@@ -101,7 +101,7 @@
 	private static void injectFault(SchedulerFixture fixture, Random random, int round) {
 		List<FakeVm> vms = fixture.vms.values().stream().filter((vm) -> !vm.replaced).toList();
 		FakeVm vm = vms.get(random.nextInt(vms.size()));
-		switch (random.nextInt(11)) {
+		switch (random.nextInt(12)) {
 			case 0, 1, 2 -> failOne(vm, random);
 			case 3 -> List.copyOf(vm.running.keySet()).forEach((task) -> failIfRunning(vm, task));
 			case 4 -> vm.crash();
@@ -110,6 +110,7 @@
 			case 7 -> fixture.startNewCoordinator();
 			case 8 -> vm.resize(random.nextBoolean() ? HALF_VM : SchedulerFixture.CAPACITY);
 			case 9 -> fixture.refuseWrites = true;
+			case 10 -> vm.startDelayMs = 200 + random.nextInt(30_000);
 			default -> submitFinite(fixture, random, "finite" + round);
 		}
 	}
@@ -131,6 +132,7 @@
 		fixture.refuseWrites = false;
 		for (FakeVm vm : fixture.vms.values()) {
 			vm.failing = false;
+			vm.startDelayMs = 0;
 			if (!vm.refusingConnections) {
 				vm.unreachable = false;
 			}
--- a/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/TaskRetryTests.java
@@ -108,6 +108,47 @@
 		assertThat(free.running).containsKeys(task("job", 1), task("job", 2));
 	}
 
+	/**
+	 * Guards against a task that stays assigned to a VM which answers renewals but never
+	 * starts it.
+	 */
+	@Test
+	void aTaskWhoseStartIsNeverAnsweredIsPlacedElsewhere() {
+		// given
+		this.fixture.vm("vm1", "r1").startDelayMs = Long.MAX_VALUE / 2;
+		this.fixture.advanceTime(500);
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 1_000));
+		this.fixture.advanceTime(500);
+		// when
+		this.fixture.vm("vm2", "r1");
+		this.fixture.advanceTime(20_000);
+		// then
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
+	/**
+	 * Guards against two runs of a task that its VM starts late, just before it accepts
+	 * the stop.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 6_900, 7_000, 7_050, 7_100, 7_200, 7_400, 9_000 })
+	void aTaskThatIsStartedLateAfterAllRunsOnce(long startDelayMs) {
+		// given
+		FakeVm late = this.fixture.vm("vm1", "r1");
+		late.startDelayMs = startDelayMs;
+		late.stopGraceMs = 900;
+		late.hidingStoppedRuns = true;
+		this.fixture.advanceTime(500);
+		this.fixture.submit("job", "normal", SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
+		this.fixture.advanceTime(500);
+		// when
+		this.fixture.vm("vm2", "r1");
+		this.fixture.advanceTime(30_000);
+		// then
+		assertThat(this.fixture.violations).isEmpty();
+		assertThat(this.fixture.phase("job")).isEqualTo("COMPLETED");
+	}
+
 	/**
 	 * Guards against a task that stays assigned to a VM that is gone, as no start was
 	 * commanded there and so no run of it can lapse.
