--- a/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
+++ b/src/test/java/org/citronrelay/internal/schedule/FakeVm.java
@@ -136,6 +136,10 @@
 			return;
 		}
 		StartAnswer answer = execute(command, token);
+		if (this.fixture.crashingTasksTakeTheAnswerAlong && this.crashesAt <= this.fixture.now) {
+			crash();
+			return;
+		}
 		this.fixture.scheduler.startAnswered(command.task(), command.run(), answer, this.fixture.moment());
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -53,6 +53,9 @@
 	/** How long after its start a task crashes its VM, in milliseconds. */
 	long crashDelayMs;
 
+	/** Whether a VM that crashes at the start of a task does not answer the command. */
+	boolean crashingTasksTakeTheAnswerAlong;
+
 	/** Whether a crashed VM comes back under the id that it had. */
 	boolean crashedVmsKeepTheirIds;
 
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -48,6 +48,23 @@
 		assertThat(this.fixture.phase("other")).isEqualTo("COMPLETED");
 	}
 
+	/**
+	 * Guards against a task that is started without end because no crash counts: its VMs
+	 * answer nothing after they were told to start it.
+	 */
+	@Test
+	void aTaskThatCrashesItsVmsBeforeTheyAnswerItsStartIsGivenUp() {
+		// given
+		this.fixture.crashingTasksTakeTheAnswerAlong = true;
+		this.fixture.vms.values().forEach((vm) -> vm.renewWaitMs = 1_000);
+		// when
+		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 8_000));
+		this.fixture.advanceTime(150_000);
+		// then
+		assertThat(this.fixture.phase("crashing")).isEqualTo("FAILED");
+		assertThat(this.fixture.violations).isEmpty();
+	}
+
 	/**
 	 * Guards against a task that is started without end because others start beside it
 	 * before it crashes its VM.
