--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -134,6 +134,25 @@
 		this.record.add("all entry processes are ready");
 	}
 
+	/**
+	 * Stops the leading process with SIGTERM and starts it again.
+	 */
+	void restartLeader() throws IOException {
+		for (int number = 0; number < ENTRIES; number++) {
+			Entry entry = this.entries.get(number);
+			if (!entry.log("Elected as coordinator").isEmpty()) {
+				entry.signal("TERM");
+				this.record.add("SIGTERM to " + entry.name + ", which leads");
+				entry.awaitEnd();
+				entry.start("zone-" + (number + 1), this.storeProxy.address(),
+						this.entries.stream().map((peer) -> peer.peers).toList());
+				this.record.add(entry.name + " starts again");
+				return;
+			}
+		}
+		throw new CannotRun("no process leads");
+	}
+
 	/**
 	 * Submits a job at the entry processes in turn, until one accepts it.
 	 */
--- a/review/standins-2/Entry.java
+++ b/review/standins-2/Entry.java
@@ -73,6 +73,15 @@
 		return this.process != null && this.process.isAlive();
 	}
 
+	void awaitEnd() {
+		try {
+			this.process.waitFor();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	void kill() {
 		if (this.process != null) {
 			this.process.destroyForcibly();
