--- a/review/standins-2/ReviewCase.java
+++ b/review/standins-2/ReviewCase.java
@@ -13,7 +13,7 @@
 public final class ReviewCase {
 
 	private static final Map<String, Case> CASES = Map.of("crashing-item", new CrashingItemCase(),
-			"lasting-work", new LastingWorkCase(), "late-count", new LateCountCase(), "frozen-submit", new FrozenSubmitCase(), "dropped-route", new DroppedRouteCase());
+			"lasting-work", new LastingWorkCase(), "late-count", new LateCountCase(), "crash-at-start", new CrashAtStartCase());
 
 	private ReviewCase() {
 	}
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -24,7 +24,8 @@
 /**
  * A sound worker that starts whatever it is told to. The spec of a job is a JSON document
  * that says how long a work item works ({@code workMs}, 0 for one that lasts) and after
- * which time it crashes its worker ({@code crashMs}, 0 for never). A crash closes all
+ * which time it crashes its worker ({@code crashMs}, 0 for never, less than 0 for before
+ * the answer to its start). A crash closes all
  * connections and the port. The machine is back after some seconds as a new worker at the
  * same address, and the entry of the earlier one is removed after three heartbeats of
  * silence.
@@ -297,6 +298,9 @@
 		begun.crashAt = (crash > 0) ? begun.startedAt + crash : Long.MAX_VALUE;
 		this.running.put(task + "#" + run, begun);
 		this.record.started(this.id, this.born, task, run, body.path("fencingToken").asLong());
+		if (crash < 0) {
+			crash(begun);
+		}
 		return 200;
 	}
 
