--- a/review/standins-3/org/citronrelay/review3/Stage.java
+++ b/review/standins-3/org/citronrelay/review3/Stage.java
@@ -49,6 +49,9 @@
 		.connectTimeout(Duration.ofSeconds(2))
 		.build();
 
+	/** The rate of each entry process's link to the store in Mbit/s, 0 for no limit. */
+	double linkMbps;
+
 	private long version = 5;
 
 	private volatile boolean closed;
@@ -236,6 +239,8 @@
 
 		Process process;
 
+		Link link;
+
 		Entry(String name) {
 			this.name = name;
 		}
@@ -249,7 +254,7 @@
 			values.put("listen.control", "\"127.0.0.1:" + this.peerPort + '"');
 			values.put("ip", "127.0.0.1");
 			values.put("portRange.0", Integer.toString(this.metricsPort));
-			values.put("platform.address", "\"127.0.0.1:" + Stage.this.store.port() + '"');
+			values.put("platform.address", "\"127.0.0.1:" + storePort() + '"');
 			values.put("seeds", seeds.toString());
 			values.put("limits.cores", "1");
 			values.put("limits.cpuShare", "0.75");
@@ -268,6 +273,14 @@
 			}
 		}
 
+		private int storePort() {
+			if (Stage.this.linkMbps == 0) {
+				return Stage.this.store.port();
+			}
+			this.link = new Link(Stage.this.store.port(), Stage.this.linkMbps);
+			return this.link.port();
+		}
+
 		private Path settings() {
 			return Stage.this.folder.resolve(this.name + ".json");
 		}
