--- a/review/standins-3/org/citronrelay/review3/Stage.java
+++ b/review/standins-3/org/citronrelay/review3/Stage.java
@@ -15,7 +15,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToLongFunction;
 import java.util.regex.Matcher;
@@ -30,6 +33,8 @@
 
 	static final String SERVICE = "service-a";
 
+	private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
 	static final String KEY = "key-of-tenant-a";
 
 	final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -75,12 +80,21 @@
 		});
 	}
 
+	/**
+	 * Returns a free port below those that systems give to outgoing connections, so that
+	 * none of these takes it before the process that is to listen there has started.
+	 */
 	static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				if (USED_PORTS.add(port)) {
+					return socket.getLocalPort();
+				}
+			}
+			catch (IOException ex) {
+				// The port is in use.
+			}
 		}
 	}
 
