--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 "$JAVA_HOME/bin/java" -Xmx1g -cp target/review/classes-3:target/citronrelay.jar \
-	org.citronrelay.review3.LateHandIn review/14/record.txt "$folder"
+	org.citronrelay.review3.LateHandIn review/15/record.txt "$folder"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
