Remove the record of a job with its end

Cause: of an ended job a coordinator needs nothing but its end and when to forget it, and callers its phase. The transaction that stores the end of a job without runs now removes its record and its cancellation. What is left is the progress, some 100 bytes, which now names the job by a digest and its time of acceptance.

What follows from it, each with a test in EndedJobRecordsTests: - a submission is stored only if there is neither a record nor progress of its id, so that one that is repeated or takes effect after the end of its job does not run it again; the digest tells whether it is the same job; - a notice of a job that arrives at the next coordinator after the end does not run it again; - a phase is looked up once more if neither progress nor record was found, as the job may have ended in between; - the coordinator forgets a job once its progress was removed, not with its record; a removal without an answer is noticed by the conflict of the next one, which would fail for ever otherwise.

ProgressTransaction holds what Coordinator and the simulation of the tests had twice.

--- a/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -70,9 +72,10 @@
 		if (unreachable.isDefined()) {
 			return new Submission.Refused(unreachable.get(), RETRY_AFTER_MS);
 		}
-		return switch (create(StoreKeys.JOBS + job.id(), JobCodec.encode(job))) {
+		Map<String, Long> expected = Map.of(StoreKeys.JOBS + job.id(), 0L, StoreKeys.PROGRESS + job.id(), 0L);
+		return switch (create(StoreKeys.JOBS + job.id(), JobCodec.encode(job), expected)) {
 			case CreateResult.Stored _ -> new Submission.Accepted();
-			case CreateResult.Exists exists -> sameJob(job, exists.entry()) ? new Submission.Accepted()
+			case CreateResult.Exists exists -> sameJob(job, exists.current()) ? new Submission.Accepted()
 					: new Submission.IdTaken("another job is stored under the id " + job.id());
 			case CreateResult.NotStored notStored -> new Submission.Refused(notStored.reason(), RETRY_AFTER_MS);
 			case CreateResult.Unknown unknown -> new Submission.Unknown(unknown.reason());
@@ -80,9 +83,14 @@
 	}
 
 	/**
-	 * Whether a stored job is the submitted one, apart from the time of acceptance.
+	 * Whether the stored job is the submitted one, apart from the time of acceptance. Of
+	 * a job that has ended only the progress may be left.
 	 */
-	private static boolean sameJob(BatchJob job, KvEntry entry) {
+	private static boolean sameJob(BatchJob job, Map<String, KvEntry> current) {
+		KvEntry entry = current.get(StoreKeys.JOBS + job.id());
+		if (entry == null) {
+			return ProgressCodec.isOf(job, current.get(StoreKeys.PROGRESS + job.id()).value());
+		}
 		BatchJob stored = JobCodec.decode(job.id(), entry.value());
 		return new BatchJob(job.id(), job.queue(), job.team(), job.payload(), job.steps(), job.repeat(),
 				stored.acceptedAtMs())
@@ -100,7 +108,7 @@
 			if (phase.isEmpty() || phase.get().ended()) {
 				return Either.right(phase);
 			}
-			return switch (create(StoreKeys.CANCELS + id, CANCEL_MARKER)) {
+			return switch (create(StoreKeys.CANCELS + id, CANCEL_MARKER, Map.of(StoreKeys.CANCELS + id, 0L))) {
 				case CreateResult.Stored _, CreateResult.Exists _ -> Either.right(Option.some(JobPhase.CANCELLED));
 				case CreateResult.NotStored notStored -> Either.left(notStored.reason());
 				case CreateResult.Unknown unknown -> Either.left(unknown.reason());
@@ -117,16 +125,22 @@
 		if (unreachable.isDefined()) {
 			return Either.left(unreachable.get());
 		}
-		Either<StoreFailure, Option<KvEntry>> progress = this.store.read(StoreKeys.PROGRESS + id);
-		if (progress.isLeft()) {
-			return Either.left(progress.getLeft().message());
-		}
-		if (progress.get().isDefined()) {
-			return Either.right(progress.get().map((entry) -> ProgressCodec.phase(entry.value())));
-		}
-		return this.store.read(StoreKeys.JOBS + id)
-			.mapLeft(StoreFailure::message)
-			.map((job) -> job.map((entry) -> JobPhase.QUEUED));
+		return storedPhase(id).mapLeft(StoreFailure::message);
+	}
+
+	/**
+	 * Reads the progress of a job, then its record. The job may end between the two, and
+	 * then has progress only.
+	 */
+	private Either<StoreFailure, Option<JobPhase>> storedPhase(String id) {
+		return progress(id)
+			.flatMap((progress) -> progress.isDefined() ? Either.right(progress) : this.store.read(StoreKeys.JOBS + id)
+				.flatMap((job) -> job.isDefined() ? Either.right(Option.some(JobPhase.QUEUED)) : progress(id)));
+	}
+
+	private Either<StoreFailure, Option<JobPhase>> progress(String id) {
+		return this.store.read(StoreKeys.PROGRESS + id)
+			.map((found) -> found.map((entry) -> ProgressCodec.phase(entry.value())));
 	}
 
 	/**
@@ -153,8 +167,8 @@
 				: Option.none();
 	}
 
-	private CreateResult create(String key, byte[] value) {
-		Transaction create = new Transaction(Map.of(key, 0L), List.of(new Put(key, value, "")), List.of());
+	private CreateResult create(String key, byte[] value, Map<String, Long> expected) {
+		Transaction create = new Transaction(expected, List.of(new Put(key, value, "")), List.of());
 		long deadline = this.ticker.millis() + WRITE_RETRY_LIMIT_MS;
 		Option<StoreFailure> ambiguous = Option.none();
 		while (true) {
@@ -163,14 +177,12 @@
 				this.onStored.accept(key, value);
 				return new CreateResult.Stored();
 			}
-			if (written.getLeft() instanceof StoreFailure.Conflict conflict) {
-				return conflict.current()
-					.stream()
-					.findFirst()
-					.<CreateResult>map(CreateResult.Exists::new)
-					.orElseGet(CreateResult.Stored::new);
+			if (written.getLeft() instanceof StoreFailure.Conflict conflict && !conflict.current().isEmpty()) {
+				return new CreateResult.Exists(
+						conflict.current().stream().collect(Collectors.toMap(KvEntry::key, Function.identity())));
 			}
-			if (written.getLeft() instanceof StoreFailure.Ambiguous) {
+			if (written.getLeft() instanceof StoreFailure.Ambiguous
+					|| written.getLeft() instanceof StoreFailure.Conflict) {
 				ambiguous = Option.some(written.getLeft());
 			}
 			else if (ambiguous.isEmpty()) {
@@ -190,7 +202,7 @@
 		record Stored() implements CreateResult {
 		}
 
-		record Exists(KvEntry entry) implements CreateResult {
+		record Exists(Map<String, KvEntry> current) implements CreateResult {
 		}
 
 		record NotStored(String reason) implements CreateResult {
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -1,25 +1,20 @@
 package org.citronrelay.internal.cluster;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.JobCodec;
-import org.citronrelay.internal.cluster.ClusterStore.Put;
-import org.citronrelay.internal.cluster.ClusterStore.Transaction;
 import org.citronrelay.internal.cluster.CoordinatorEvent.CancelStored;
 import org.citronrelay.internal.cluster.CoordinatorEvent.CatalogueChanged;
+import org.citronrelay.internal.cluster.CoordinatorEvent.JobForgotten;
 import org.citronrelay.internal.cluster.CoordinatorEvent.JobRemoved;
 import org.citronrelay.internal.cluster.CoordinatorEvent.JobStored;
 import org.citronrelay.internal.cluster.CoordinatorEvent.RenewalEnded;
@@ -32,6 +27,7 @@
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.schedule.Moment;
+import org.citronrelay.internal.schedule.ProgressWrite;
 import org.citronrelay.internal.schedule.StartAnswer;
 import org.citronrelay.internal.time.Pause;
 import org.citronrelay.internal.time.Ticker;
@@ -53,12 +49,6 @@
 	 */
 	private static final int ROUND_TIME_DIVISOR = 4;
 
-	/**
-	 * How many jobs fit into one transaction: each takes an expectation and a value, and
-	 * one entry is the check of the term.
-	 */
-	private static final int JOBS_PER_WRITE = (ClusterStore.TRANSACTION_ENTRIES - 1) / 2;
-
 	/** The pause after a failed read or write, in milliseconds. */
 	private static final long RETRY_MS = 100;
 
@@ -98,7 +88,7 @@
 		this.scheduler = new ClusterScheduler(dependencies.settings().coordination().timings(), now());
 		this.statistics = this.scheduler.statistics();
 		this.housekeeping = new Housekeeping(dependencies.store(), dependencies.executor(), term.token(),
-				dependencies.settings().keepEndedMs());
+				dependencies.settings().keepEndedMs(), this::enqueue);
 		this.effects = new EffectExecutor(dependencies, term, this::enqueue);
 		this.decisions = new DecisionStatistics(dependencies.metrics(), dependencies.ticker().millis());
 	}
@@ -219,7 +209,8 @@
 		switch (event) {
 			case JobStored stored -> jobStored(stored.job(), now);
 			case CancelStored stored -> this.scheduler.cancelRequested(stored.job(), now);
-			case JobRemoved removed -> this.scheduler.jobRemoved(removed.job());
+			case JobRemoved removed -> this.scheduler.recordRemoved(removed.job());
+			case JobForgotten forgotten -> this.scheduler.jobForgotten(forgotten.job(), forgotten.revision());
 			case VmRegistered registered -> ErrorBoundary.run("apply a registration",
 					() -> this.scheduler.vmRegistered(registered.registration(), now));
 			case VmDeregistered deregistered -> this.scheduler.vmDeregistered(deregistered.vm());
@@ -272,20 +263,15 @@
 		if (this.writeInProgress) {
 			return;
 		}
-		List<ClusterScheduler.Write> writes = this.scheduler.writes(JOBS_PER_WRITE);
+		List<ProgressWrite> writes = this.scheduler.writes(ProgressTransaction.LIMITS);
 		if (writes.isEmpty()) {
 			return;
 		}
 		this.writeInProgress = true;
-		Map<String, Long> expected = new HashMap<>();
-		expected.put(StoreKeys.COORDINATOR, this.term.token());
-		writes.forEach((write) -> expected.put(StoreKeys.PROGRESS + write.job(), write.revision()));
-		List<Put> puts = writes.stream()
-			.map((write) -> new Put(StoreKeys.PROGRESS + write.job(), write.document(), ""))
-			.toList();
+		ProgressTransaction progress = new ProgressTransaction(this.term.token(), writes);
 		this.dependencies.executor().execute(() -> {
 			Either<StoreFailure, Long> result = ErrorBoundary.call("store the progress of jobs",
-					() -> this.dependencies.store().transact(new Transaction(expected, puts, List.of())),
+					() -> this.dependencies.store().transact(progress.transaction()),
 					(error) -> Either.left(new StoreFailure.Ambiguous("the answer could not be read: " + error)));
 			if (result.isLeft() && !(result.getLeft() instanceof StoreFailure.Conflict)) {
 				Part.PLATFORM.logger()
@@ -295,51 +281,19 @@
 					.log("Could not store the progress of jobs; retries in the next round.");
 				Pause.millis(RETRY_MS);
 			}
-			enqueue(new WriteEnded(writes, result));
+			enqueue(new WriteEnded(progress, result));
 		});
 	}
 
 	private void writeEnded(WriteEnded ended) {
 		this.writeInProgress = false;
-		if (ended.result().isRight()) {
-			ended.writes().forEach((write) -> this.scheduler.writeStored(write, ended.result().get()));
-		}
-		else if (ended.result().getLeft() instanceof StoreFailure.Conflict conflict) {
-			resolveConflict(ended.writes(), conflict);
-		}
-		else {
-			ended.writes().forEach((write) -> this.scheduler.writeNotStored(write, write.revision()));
-		}
-	}
-
-	/**
-	 * Handles a conflict: either the coordinator key has changed, so that this term has
-	 * ended, or an earlier write of this coordinator took effect though its answer was
-	 * lost.
-	 */
-	private void resolveConflict(List<ClusterScheduler.Write> writes, StoreFailure.Conflict conflict) {
-		Map<String, KvEntry> current = conflict.current()
-			.stream()
-			.collect(Collectors.toMap(KvEntry::key, (entry) -> entry, (one, _) -> one));
-		KvEntry coordinator = current.get(StoreKeys.COORDINATOR);
-		if (coordinator == null || coordinator.revision() != this.term.token()) {
+		if (!ended.progress().apply(ended.result(), this.scheduler)) {
 			Part.HOLDER.logger()
 				.atWarn()
 				.addKeyValue("token", this.term.token())
 				.addKeyValue("remainingMs", this.term.remainingMs(now()))
 				.log("The coordinator key in the store no longer holds this term; stops coordinating.");
 			this.term.end();
-			return;
-		}
-		for (ClusterScheduler.Write write : writes) {
-			KvEntry entry = current.get(StoreKeys.PROGRESS + write.job());
-			long revision = (entry != null) ? entry.revision() : 0;
-			if (entry != null && Arrays.equals(entry.value(), write.document())) {
-				this.scheduler.writeStored(write, revision);
-			}
-			else {
-				this.scheduler.writeNotStored(write, revision);
-			}
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
+++ b/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
@@ -1,6 +1,5 @@
 package org.citronrelay.internal.cluster;
 
-import java.util.List;
 import java.util.Objects;
 
 import io.vavr.control.Either;
@@ -8,7 +7,6 @@
 import org.citronrelay.internal.batch.QueueCatalogue;
 import org.citronrelay.internal.batch.TaskId;
 import org.citronrelay.internal.batch.VmRegistration;
-import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.schedule.Effect;
 import org.citronrelay.internal.schedule.StartAnswer;
 import org.citronrelay.internal.schedule.VmAnswer;
@@ -27,6 +25,15 @@
 	record JobRemoved(String job) implements CoordinatorEvent {
 	}
 
+	/**
+	 * The progress of an ended job was deleted.
+	 *
+	 * @param job the job's id
+	 * @param revision the revision of the progress that was deleted
+	 */
+	record JobForgotten(String job, long revision) implements CoordinatorEvent {
+	}
+
 	record VmRegistered(VmRegistration registration) implements CoordinatorEvent {
 
 		public VmRegistered {
@@ -50,8 +57,7 @@
 	record StopAnswered(TaskId task, long run) implements CoordinatorEvent {
 	}
 
-	record WriteEnded(List<ClusterScheduler.Write> writes,
-			Either<StoreFailure, Long> result) implements CoordinatorEvent {
+	record WriteEnded(ProgressTransaction progress, Either<StoreFailure, Long> result) implements CoordinatorEvent {
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/cluster/Housekeeping.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Housekeeping.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
@@ -44,6 +45,8 @@
 
 	private final long keepEndedMs;
 
+	private final Consumer<CoordinatorEvent> events;
+
 	private ClusterScheduler.Statistics statistics = ClusterScheduler.Statistics.NONE;
 
 	private final OwnedRecord queuedJobsRecord;
@@ -61,12 +64,15 @@
 	 * Creates the housekeeping of one term.
 	 * @param token the fencing token of the term
 	 * @param keepEndedMs how long the records of ended jobs are kept, in milliseconds
+	 * @param events told of each job whose records were removed, from any thread
 	 */
-	Housekeeping(ClusterStore store, Executor executor, long token, long keepEndedMs) {
+	Housekeeping(ClusterStore store, Executor executor, long token, long keepEndedMs,
+			Consumer<CoordinatorEvent> events) {
 		this.store = store;
 		this.executor = executor;
 		this.token = token;
 		this.keepEndedMs = keepEndedMs;
+		this.events = events;
 		this.queuedJobsRecord = new OwnedRecord(store, StoreKeys.QUEUED_JOBS);
 	}
 
@@ -122,7 +128,9 @@
 		}
 		Map<String, Long> expected = new HashMap<>(Map.of(StoreKeys.COORDINATOR, this.token));
 		List<String> removes = new ArrayList<>();
+		List<CoordinatorEvent.JobForgotten> removed = new ArrayList<>();
 		ended.entrySet().stream().limit(SWEEP_BATCH_SIZE).forEach((job) -> {
+			removed.add(new CoordinatorEvent.JobForgotten(job.getKey(), job.getValue()));
 			expected.put(StoreKeys.PROGRESS + job.getKey(), job.getValue());
 			removes.add(StoreKeys.JOBS + job.getKey());
 			removes.add(StoreKeys.CANCELS + job.getKey());
@@ -130,11 +138,28 @@
 		});
 		Transaction transaction = new Transaction(expected, List.of(), removes);
 		this.executor.execute(() -> this.store.transact(transaction)
-			.peekLeft((failure) -> Part.PLATFORM.logger()
-				.atWarn()
-				.addKeyValue("reason", failure.message())
-				.addKeyValue("keysToRemove", removes.size())
-				.log("Could not remove the records of ended jobs; retries with the next sweep.")));
+			.peek((revision) -> removed.forEach(this.events))
+			.peekLeft((failure) -> {
+				Part.PLATFORM.logger()
+					.atWarn()
+					.addKeyValue("reason", failure.message())
+					.addKeyValue("keysToRemove", removes.size())
+					.log("Could not remove the records of ended jobs; retries with the next sweep.");
+				if (failure instanceof StoreFailure.Conflict conflict) {
+					removed.stream().filter((job) -> !stillStored(job, conflict)).forEach(this.events);
+				}
+			}));
+	}
+
+	/**
+	 * Whether the progress of a job is still stored after a conflict. It is not if an
+	 * earlier removal took effect though its answer was lost.
+	 */
+	private static boolean stillStored(CoordinatorEvent.JobForgotten job, StoreFailure.Conflict conflict) {
+		return conflict.current()
+			.stream()
+			.anyMatch((entry) -> entry.key().equals(StoreKeys.PROGRESS + job.job())
+					&& entry.revision() == job.revision());
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -1,6 +1,5 @@
 package org.citronrelay.internal.schedule;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -22,7 +21,7 @@
  * <pre>
  * scheduler.jobAdded(job, now);
  * scheduler.advance(now, true);
- * scheduler.writes(31).forEach(this::store);
+ * scheduler.writes(limits).forEach(this::store);
  * scheduler.effects().forEach(this::run);
  * </pre>
  */
@@ -30,6 +29,10 @@
 
 	private final Map<String, JobState> jobs = new LinkedHashMap<>();
 
+	private final EndedJobs endedJobs = new EndedJobs();
+
+	private final ProgressWrites progressWrites = new ProgressWrites(this.jobs);
+
 	private final Set<String> cancelRequests = new HashSet<>();
 
 	private final VmRegistry vms;
@@ -76,6 +79,9 @@
 	 * from an ended job with its id was submitted after that one's records were removed.
 	 */
 	public void jobAdded(BatchJob job, Moment now) {
+		if (this.endedJobs.contains(job)) {
+			return;
+		}
 		JobState known = this.jobs.get(job.id());
 		if (known != null && known.phase.ended() && !known.spec.equals(job)) {
 			jobRemoved(job.id());
@@ -89,12 +95,13 @@
 	}
 
 	/**
-	 * Restores the progress that an earlier coordinator stored for a job; ignored if the
-	 * job is unknown.
+	 * Restores the progress that an earlier coordinator stored for a job. Of an unknown
+	 * job only its end is of use.
 	 */
 	public void restoreProgress(String jobId, byte[] document, long revision, Moment now) {
 		JobState job = this.jobs.get(jobId);
 		if (job == null) {
+			this.endedJobs.add(jobId, document, revision, now);
 			return;
 		}
 		ProgressCodec.decode(document, job);
@@ -121,7 +128,30 @@
 	}
 
 	/**
-	 * Removes a job whose records were deleted.
+	 * Records that the record of a job was deleted. That of an ended job is deleted with
+	 * its end; the job is kept until {@link #jobForgotten}.
+	 */
+	public void recordRemoved(String jobId) {
+		JobState job = this.jobs.get(jobId);
+		if (job == null || !job.phase.ended()) {
+			jobRemoved(jobId);
+		}
+	}
+
+	/**
+	 * Records that the progress of an ended job was deleted, so that its id is free.
+	 * @param revision the revision of the progress that was deleted
+	 */
+	public void jobForgotten(String jobId, long revision) {
+		JobState job = this.jobs.get(jobId);
+		if (job != null && job.phase.ended() && job.revision == revision) {
+			jobRemoved(jobId);
+		}
+		this.endedJobs.forget(jobId, revision);
+	}
+
+	/**
+	 * Removes a job that cannot be scheduled.
 	 */
 	public void jobRemoved(String jobId) {
 		this.jobs.remove(jobId);
@@ -242,36 +272,17 @@
 	 * Returns the progress to store next, one write for each job. A job has no further
 	 * write until {@link #writeStored} or {@link #writeNotStored} was called for the last
 	 * one.
-	 * @param max the largest number of writes to return
 	 */
-	public List<Write> writes(int max) {
-		List<Write> writes = new ArrayList<>();
-		for (JobState job : this.jobs.values()) {
-			if (writes.size() == max) {
-				break;
-			}
-			if (job.unstored && !job.storing) {
-				job.unstored = false;
-				job.storing = true;
-				List<Runnable> after = job.afterStore;
-				job.afterStore = new ArrayList<>();
-				writes.add(new Write(job.id(), ProgressCodec.encode(job), job.revision, after));
-			}
-		}
-		return writes;
+	public List<ProgressWrite> writes(WriteLimits limits) {
+		return this.progressWrites.choose(limits);
 	}
 
 	/**
 	 * Records that a write was stored.
 	 * @param revision the revision that it was stored under
 	 */
-	public void writeStored(Write write, long revision) {
-		JobState job = this.jobs.get(write.job());
-		if (job != null) {
-			job.storing = false;
-			job.revision = revision;
-			write.after().forEach(Runnable::run);
-		}
+	public void writeStored(ProgressWrite write, long revision) {
+		this.progressWrites.stored(write, revision);
 	}
 
 	/**
@@ -279,14 +290,8 @@
 	 * the job is written again.
 	 * @param revision the revision that the next write replaces
 	 */
-	public void writeNotStored(Write write, long revision) {
-		JobState job = this.jobs.get(write.job());
-		if (job != null) {
-			job.storing = false;
-			job.revision = revision;
-			job.unstored = true;
-			job.afterStore.addAll(0, write.after());
-		}
+	public void writeNotStored(ProgressWrite write, long revision) {
+		this.progressWrites.notStored(write, revision);
 	}
 
 	/**
@@ -301,6 +306,7 @@
 				ended.put(job.id(), job.revision);
 			}
 		}
+		this.endedJobs.addEndedBefore(before, ended);
 		return ended;
 	}
 
@@ -324,6 +330,7 @@
 	public Statistics statistics() {
 		Map<JobPhase, Integer> phases = new HashMap<>();
 		this.jobs.values().forEach((job) -> phases.merge(job.phase, 1, Integer::sum));
+		this.endedJobs.addPhases(phases);
 		int placed = this.vms.all().stream().mapToInt((vm) -> vm.tasks.size()).sum();
 		return new Statistics(phases, placed, this.vms.all().size(), this.lifecycle.wastedCoreSeconds());
 	}
@@ -358,17 +365,6 @@
 		}
 	}
 
-	/**
-	 * Progress to store.
-	 *
-	 * @param job the job's id
-	 * @param document the encoded progress
-	 * @param revision the stored revision that it replaces, 0 for none
-	 * @param after the actions to run once it is stored
-	 */
-	public record Write(String job, byte[] document, long revision, List<Runnable> after) {
-	}
-
 	/**
 	 * Statistics for the metrics.
 	 *
--- a/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ProgressCodec.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.citronrelay.internal.batch.BatchJob;
+import org.citronrelay.internal.batch.JobDigest;
 import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.schedule.VmCrash.Evidence;
@@ -20,6 +22,11 @@
 
 	private static final String PHASE = "phase";
 
+	/** The digest of an ended job, to compare it with later submissions under its id. */
+	private static final String DIGEST = "digest";
+
+	private static final String ACCEPTED_AT = "acceptedAtMs";
+
 	private ProgressCodec() {
 	}
 
@@ -30,10 +37,24 @@
 		return JobPhase.valueOf(Json.parseTrusted(document).path(PHASE).asText());
 	}
 
+	/**
+	 * Whether the stored document of an ended job without a record is that of the
+	 * submitted job.
+	 */
+	public static boolean isOf(BatchJob submitted, byte[] document) {
+		return ending(document).digest().equals(JobDigest.of(submitted));
+	}
+
+	static Ending ending(byte[] document) {
+		JsonNode root = Json.parseTrusted(document);
+		return new Ending(JobPhase.valueOf(root.path(PHASE).asText()), root.path(DIGEST).asText(),
+				root.path(ACCEPTED_AT).asLong());
+	}
+
 	static byte[] encode(JobState job) {
 		ObjectNode root = Json.object().put("format", FORMAT).put(PHASE, job.phase.name());
 		if (job.phase.ended() && !job.occupiesCapacity()) {
-			return Json.bytes(root);
+			return Json.bytes(root.put(DIGEST, JobDigest.of(job.spec)).put(ACCEPTED_AT, job.spec.acceptedAtMs()));
 		}
 		ArrayNode steps = root.putArray("steps");
 		for (StepState step : job.steps) {
@@ -125,4 +146,15 @@
 		return new VmCrash(row.path(0).asText(), row.path(1).asLong(), row.path(2).asLong(), evidence);
 	}
 
+	/**
+	 * What a stored document says of a job as a whole.
+	 *
+	 * @param phase its phase
+	 * @param digest the digest of the job, empty if it has not ended
+	 * @param acceptedAtMs when it was accepted, in milliseconds since 1970; 0 if it has
+	 * not ended
+	 */
+	record Ending(JobPhase phase, String digest, long acceptedAtMs) {
+	}
+
 }
--- a/src/test/java/org/citronrelay/internal/cluster/HousekeepingTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/HousekeepingTests.java
@@ -1,7 +1,5 @@
 package org.citronrelay.internal.cluster;
 
-import java.util.List;
-
 import io.vavr.control.Option;
 import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
@@ -37,10 +35,11 @@
 
 	private long now = 1_000_000;
 
+	private long token;
+
 	@BeforeEach
 	void startTerm() {
-		long token = this.store.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
-		startCoordinator(token);
+		startCoordinator(this.store.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get());
 	}
 
 	/**
@@ -151,10 +150,11 @@
 		return transaction.puts().stream().anyMatch((put) -> put.key().equals(StoreKeys.QUEUED_JOBS));
 	}
 
-	private void startCoordinator(long token) {
+	private void startCoordinator(long newToken) {
+		this.token = newToken;
 		this.scheduler = new ClusterScheduler(
 				new ScheduleTimings(10_000, 10_000, 1_500, 400, 3_500, 3_000, 1_000, 5_000), moment());
-		this.housekeeping = new Housekeeping(this.store, Runnable::run, token, KEEP_ENDED_MS);
+		this.housekeeping = new Housekeeping(this.store, Runnable::run, newToken, KEEP_ENDED_MS, this::removed);
 	}
 
 	private void submit(String id) {
@@ -170,29 +170,22 @@
 		submit(id);
 		this.service.cancel(id);
 		this.scheduler.cancelRequested(id, moment());
-		for (ClusterScheduler.Write write : this.scheduler.writes(1)) {
-			this.scheduler.writeStored(write,
-					this.memory.transact(Transaction.create(StoreKeys.PROGRESS + write.job(), write.document(), ""))
-						.get());
-		}
+		ProgressTransaction progress = new ProgressTransaction(this.token,
+				this.scheduler.writes(ProgressTransaction.LIMITS));
+		progress.apply(this.memory.transact(progress.transaction()), this.scheduler);
 	}
 
-	/**
-	 * Runs the housekeeping, and lets the scheduler know of removed records as the watch
-	 * does.
-	 */
 	private void runFor(long millis) {
 		for (long end = this.now + millis; this.now < end; this.now += 50) {
 			this.housekeeping.run(this.scheduler, this.now);
-			List<String> stored = this.memory.list(StoreKeys.JOBS).get().entries().stream().map(KvEntry::key).toList();
-			this.scheduler.endedBefore(this.now)
-				.keySet()
-				.stream()
-				.filter((id) -> !stored.contains(StoreKeys.JOBS + id))
-				.forEach(this.scheduler::jobRemoved);
 		}
 	}
 
+	private void removed(CoordinatorEvent event) {
+		CoordinatorEvent.JobForgotten forgotten = (CoordinatorEvent.JobForgotten) event;
+		this.scheduler.jobForgotten(forgotten.job(), forgotten.revision());
+	}
+
 	private Moment moment() {
 		return new Moment(this.now, this.now);
 	}
--- a/src/test/java/org/citronrelay/internal/cluster/SimulatedCoordinator.java
+++ b/src/test/java/org/citronrelay/internal/cluster/SimulatedCoordinator.java
@@ -1,21 +1,17 @@
 package org.citronrelay.internal.cluster;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.citronrelay.internal.batch.JobCodec;
-import org.citronrelay.internal.cluster.ClusterStore.Put;
 import org.citronrelay.internal.cluster.ClusterStore.Transaction;
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.schedule.Effect;
+import org.citronrelay.internal.schedule.ProgressWrite;
 
 /**
  * Runs one term of a coordinator in virtual time, as {@link Coordinator} does, with the
@@ -27,8 +23,6 @@
 
 	private static final long ROUND_PAUSE_MS = 5;
 
-	private static final int JOBS_PER_WRITE = (ClusterStore.TRANSACTION_ENTRIES - 1) / 2;
-
 	private static final long RETRY_MS = 100;
 
 	private static final long VM_WATCH_PAUSE_MS = 250;
@@ -178,56 +172,24 @@
 		if (this.writeInProgress) {
 			return;
 		}
-		List<ClusterScheduler.Write> writes = this.scheduler.writes(JOBS_PER_WRITE);
+		List<ProgressWrite> writes = this.scheduler.writes(ProgressTransaction.LIMITS);
 		if (writes.isEmpty()) {
 			return;
 		}
 		this.writeInProgress = true;
-		Map<String, Long> expected = new HashMap<>();
-		expected.put(StoreKeys.COORDINATOR, this.term.token());
-		writes.forEach((write) -> expected.put(StoreKeys.PROGRESS + write.job(), write.revision()));
-		List<Put> puts = writes.stream()
-			.map((write) -> new Put(StoreKeys.PROGRESS + write.job(), write.document(), ""))
-			.toList();
-		Transaction transaction = new Transaction(expected, puts, List.of());
+		ProgressTransaction progress = new ProgressTransaction(this.term.token(), writes);
+		Transaction transaction = progress.transaction();
 		this.process.after(0, () -> this.process
 			.<Long>callStore((store, answer) -> answer.accept(store.transact(transaction)), 0, (result) -> {
 				boolean failed = result.isLeft() && !(result.getLeft() instanceof StoreFailure.Conflict);
-				this.process.after(failed ? RETRY_MS : 0, () -> enqueue(() -> writeEnded(writes, result)));
+				this.process.after(failed ? RETRY_MS : 0, () -> enqueue(() -> writeEnded(progress, result)));
 			}));
 	}
 
-	private void writeEnded(List<ClusterScheduler.Write> writes, Either<StoreFailure, Long> result) {
+	private void writeEnded(ProgressTransaction progress, Either<StoreFailure, Long> result) {
 		this.writeInProgress = false;
-		if (result.isRight()) {
-			writes.forEach((write) -> this.scheduler.writeStored(write, result.get()));
-		}
-		else if (result.getLeft() instanceof StoreFailure.Conflict conflict) {
-			resolveConflict(writes, conflict);
-		}
-		else {
-			writes.forEach((write) -> this.scheduler.writeNotStored(write, write.revision()));
-		}
-	}
-
-	private void resolveConflict(List<ClusterScheduler.Write> writes, StoreFailure.Conflict conflict) {
-		Map<String, KvEntry> current = conflict.current()
-			.stream()
-			.collect(Collectors.toMap(KvEntry::key, (entry) -> entry));
-		KvEntry coordinator = current.get(StoreKeys.COORDINATOR);
-		if (coordinator == null || coordinator.revision() != this.term.token()) {
+		if (!progress.apply(result, this.scheduler)) {
 			this.term.end();
-			return;
-		}
-		for (ClusterScheduler.Write write : writes) {
-			KvEntry entry = current.get(StoreKeys.PROGRESS + write.job());
-			long revision = (entry != null) ? entry.revision() : 0;
-			if (entry != null && Arrays.equals(entry.value(), write.document())) {
-				this.scheduler.writeStored(write, revision);
-			}
-			else {
-				this.scheduler.writeNotStored(write, revision);
-			}
 		}
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -117,10 +117,15 @@
 
 	private final Map<String, Long> revisions = new HashMap<>();
 
+	static final WriteLimits WRITE_LIMITS = new WriteLimits(31);
+
 	ClusterScheduler scheduler;
 
 	private long revision = 100;
 
+	/** The jobs whose records were removed with their end. */
+	private final Set<String> closedJobs = new HashSet<>();
+
 	SchedulerFixture() {
 		this.scheduler = new ClusterScheduler(TIMINGS, moment());
 		this.scheduler.catalogue(catalogue());
@@ -175,7 +180,10 @@
 		this.token++;
 		this.scheduler = new ClusterScheduler(TIMINGS, moment());
 		this.scheduler.catalogue(catalogue());
-		this.jobs.values().forEach((job) -> this.scheduler.jobAdded(job, moment()));
+		this.jobs.values()
+			.stream()
+			.filter((job) -> !this.closedJobs.contains(job.id()))
+			.forEach((job) -> this.scheduler.jobAdded(job, moment()));
 		this.progress
 			.forEach((id, document) -> this.scheduler.restoreProgress(id, document, this.revisions.get(id), moment()));
 		this.vms.values()
@@ -211,7 +219,7 @@
 		this.scheduler.advance(moment(), true);
 		execute();
 		if (!this.storeUnavailable) {
-			this.scheduler.writes(15).forEach(this::store);
+			this.scheduler.writes(WRITE_LIMITS).forEach(this::store);
 		}
 		this.scheduler.advance(moment(), true);
 		execute();
@@ -221,7 +229,7 @@
 	 * Stores progress as the store does: only if the revision that it replaces is the
 	 * stored one. A conflict with an equal document is a write whose answer was lost.
 	 */
-	private void store(ClusterScheduler.Write write) {
+	private void store(ProgressWrite write) {
 		if (this.refuseWrites) {
 			this.scheduler.writeNotStored(write, write.revision());
 			return;
@@ -238,6 +246,9 @@
 			return;
 		}
 		this.progress.put(write.job(), write.document());
+		if (write.closing()) {
+			this.closedJobs.add(write.job());
+		}
 		this.revisions.put(write.job(), ++this.revision);
 		if (this.loseWriteAnswers) {
 			this.scheduler.writeNotStored(write, write.revision());
--- a/src/test/java/org/citronrelay/internal/schedule/VmRestartTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmRestartTests.java
@@ -116,8 +116,8 @@
 		this.fixture.advanceTime(200);
 		this.fixture.storeUnavailable = true;
 		this.fixture.advanceTime(500);
-		List<ClusterScheduler.Write> writes = this.fixture.scheduler.writes(1);
-		assertThat(writes).extracting(ClusterScheduler.Write::job).containsExactly("old");
+		List<ProgressWrite> writes = this.fixture.scheduler.writes(SchedulerFixture.WRITE_LIMITS);
+		assertThat(writes).extracting(ProgressWrite::job).containsExactly("old");
 		// when the new instance ends a run, before it is stored
 		vm.losePower();
 		vm.restart();
