Store the progress of large jobs in several transactions, in turn

With a limit that grows, the transaction passes, but delays all others by seconds.

Now one job is stored whatever its size, and others join it up to 64 kB, so that small jobs do not wait for large ones.

--- a/src/main/java/org/citronrelay/internal/cluster/ProgressTransaction.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ProgressTransaction.java
@@ -25,8 +25,11 @@
  */
 record ProgressTransaction(long token, List<ProgressWrite> writes) {
 
-	/** The limits of one transaction; one entry is the check of the term. */
-	static final WriteLimits LIMITS = new WriteLimits(ClusterStore.TRANSACTION_ENTRIES - 1);
+	/**
+	 * The limits of one transaction: one entry is the check of the term, and a large
+	 * transaction delays the others on a slow link.
+	 */
+	static final WriteLimits LIMITS = new WriteLimits(ClusterStore.TRANSACTION_ENTRIES - 1, 64 * 1024);
 
 	ProgressTransaction {
 		writes = List.copyOf(writes);
--- a/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
+++ b/src/test/java/org/citronrelay/internal/schedule/SchedulerFixture.java
@@ -117,7 +117,7 @@
 
 	private final Map<String, Long> revisions = new HashMap<>();
 
-	static final WriteLimits WRITE_LIMITS = new WriteLimits(31);
+	static final WriteLimits WRITE_LIMITS = new WriteLimits(31, 65_536);
 
 	ClusterScheduler scheduler;
 
