Give up a term in which all loads and writes fail

Now a term is given up once all loads and writes have failed for three lengths of a term while its lease was confirmed. The process then waits a length of a term, so that others become coordinator first. While the lease is not confirmed, failures do not count: the store is away then, and another process is no remedy. A load that goes on is no failure, and a process waits twice as long before it gives up each time that it has given up in a row, so that of processes that are all slow one gets done.

--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -135,6 +135,7 @@
 		enqueue(new CatalogueChanged(this.dependencies.catalogue().current()));
 		while (!this.term.ended()) {
 			if (work.load() && loadProgress() && vms.load()) {
+				this.term.storeCallSucceeded();
 				this.dependencies.metrics().recordTerm(this.dependencies.ticker().millis() - began);
 				Part.HOLDER.logger()
 					.atInfo()
@@ -144,6 +145,7 @@
 					.log("Loaded jobs, progress and VMs from the store; the coordinator starts to schedule.");
 				return true;
 			}
+			this.term.storeCallFailed(now());
 			Pause.millis(RETRY_MS);
 		}
 		return false;
@@ -287,6 +289,12 @@
 
 	private void writeEnded(WriteEnded ended) {
 		this.writeInProgress = false;
+		if (ended.result().isLeft() && !ended.result().getLeft().answered()) {
+			this.term.storeCallFailed(now());
+		}
+		else {
+			this.term.storeCallSucceeded();
+		}
 		if (!ended.progress().apply(ended.result(), this.scheduler)) {
 			Part.HOLDER.logger()
 				.atWarn()
--- a/src/main/java/org/citronrelay/internal/cluster/Election.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Election.java
@@ -41,6 +41,16 @@
 	 */
 	private static final long ERROR_PAUSE_MS = 1_000;
 
+	/**
+	 * For how many lengths of a term all loads and writes of a coordinator may fail
+	 * before it gives up; twice as many each time that the process has given up in a row,
+	 * so that a process that is slow, but no slower than the others, gets done in the
+	 * end.
+	 */
+	private static final int PATIENCE_IN_TERMS = 3;
+
+	private static final int MAX_PATIENCE_DOUBLINGS = 5;
+
 	/**
 	 * Bound of the random delay that keeps candidates from colliding, in milliseconds.
 	 */
@@ -58,6 +68,9 @@
 
 	private volatile boolean candidate = true;
 
+	/** How many terms in a row this process has given up. */
+	private int termsGivenUp;
+
 	private volatile Term currentTerm;
 
 	private volatile Option<Address> coordinatorAddress = Option.none();
@@ -143,7 +156,7 @@
 				.transact(Transaction.create(StoreKeys.COORDINATOR, record, lease));
 			long token = created.getOrElseGet((failure) -> ownToken(failure, record));
 			if (token > 0) {
-				lead(new Term(token, lease, sentAt.plus(this.termMs)));
+				lead(new Term(token, lease, sentAt.plus(this.termMs), patienceMs()));
 			}
 			else {
 				this.store.revoke(lease);
@@ -187,6 +200,23 @@
 			this.store.revoke(term.lease());
 			Part.HOLDER.logger().atInfo().addKeyValue("token", term.token()).log("The term as coordinator has ended.");
 		}
+		if (term.givenUp()) {
+			this.termsGivenUp++;
+			Part.HOLDER.logger()
+				.atWarn()
+				.addKeyValue("token", term.token())
+				.addKeyValue("termsGivenUp", this.termsGivenUp)
+				.log("Gave up the term, as all loads and writes failed although the lease was renewed; lets other "
+						+ "processes become coordinator first.");
+			Pause.millis(this.termMs);
+		}
+		else if (term.madeProgress()) {
+			this.termsGivenUp = 0;
+		}
+	}
+
+	private long patienceMs() {
+		return this.termMs * PATIENCE_IN_TERMS << Math.min(MAX_PATIENCE_DOUBLINGS, this.termsGivenUp);
 	}
 
 	private Moment now() {
--- a/src/main/java/org/citronrelay/internal/cluster/StoreFailure.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreFailure.java
@@ -18,11 +18,22 @@
 			case Conflict conflict -> "conflict: " + conflict.current().size() + " of the expected keys exist";
 			case HistoryGone _ -> "the changes since the requested revision are no longer stored";
 			case LeaseGone leaseGone -> "lease " + leaseGone.lease() + " has expired or was revoked";
+			case Rejected rejected -> "rejected: " + rejected.reason();
 			case Unavailable unavailable -> "unavailable: " + unavailable.reason();
 			case Ambiguous ambiguous -> "ambiguous: " + ambiguous.reason();
 		};
 	}
 
+	/**
+	 * Whether the store has answered the call, so that calls of its kind get through.
+	 */
+	default boolean answered() {
+		return switch (this) {
+			case Conflict _, HistoryGone _, LeaseGone _, Rejected _ -> true;
+			case Unavailable _, Ambiguous _ -> false;
+		};
+	}
+
 	/**
 	 * An expected revision was not the current one; nothing was written.
 	 *
@@ -57,6 +68,19 @@
 
 	}
 
+	/**
+	 * The store does not accept the call, now or later; it had no effect.
+	 *
+	 * @param reason the answer of the store
+	 */
+	record Rejected(String reason) implements StoreFailure {
+
+		public Rejected {
+			Objects.requireNonNull(reason, "reason");
+		}
+
+	}
+
 	/**
 	 * The call had no effect and will have none.
 	 *
--- a/src/main/java/org/citronrelay/internal/cluster/Term.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Term.java
@@ -15,14 +15,21 @@
 
 	private volatile boolean ended;
 
+	private volatile boolean givenUp;
+
+	private final TermProgress progress;
+
 	/**
 	 * Creates a term.
 	 * @param heldUntil the time until which the lease is confirmed to be held
+	 * @param patienceMs for how long all loads and writes may fail before the term is
+	 * given up, in milliseconds
 	 */
-	Term(long token, String lease, Moment heldUntil) {
+	Term(long token, String lease, Moment heldUntil, long patienceMs) {
 		this.token = token;
 		this.lease = lease;
 		this.heldUntil = heldUntil;
+		this.progress = new TermProgress(patienceMs);
 	}
 
 	/**
@@ -69,4 +76,36 @@
 		this.ended = true;
 	}
 
+	/**
+	 * Records a load or write of the coordinator that succeeded.
+	 */
+	void storeCallSucceeded() {
+		this.progress.succeeded();
+	}
+
+	/**
+	 * Records a load or write of the coordinator that failed. Ends the term if none has
+	 * succeeded for long.
+	 */
+	void storeCallFailed(Moment now) {
+		if (this.progress.failed(holdsLease(now), now.monotonicMs())) {
+			this.givenUp = true;
+			this.ended = true;
+		}
+	}
+
+	/**
+	 * Whether the term was ended because the coordinator got nothing done.
+	 */
+	boolean givenUp() {
+		return this.givenUp;
+	}
+
+	/**
+	 * Whether any load or write of the coordinator has succeeded.
+	 */
+	boolean madeProgress() {
+		return this.progress.madeAny();
+	}
+
 }
--- a/src/main/java/org/citronrelay/platform/PlatformStore.java
+++ b/src/main/java/org/citronrelay/platform/PlatformStore.java
@@ -33,12 +33,18 @@
 
 	private static final int OK = 200;
 
+	private static final int BAD_REQUEST = 400;
+
+	private static final int FORBIDDEN = 403;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int GONE = 410;
 
 	private static final int PRECONDITION_FAILED = 412;
 
+	private static final int TOO_LARGE = 413;
+
 	private static final int TOO_MANY_REQUESTS = 429;
 
 	private static final int UNAVAILABLE = 503;
@@ -170,8 +176,11 @@
 
 	private static StoreFailure unexpected(HttpReply reply) {
 		String reason = "status " + reply.status();
-		return (reply.status() == TOO_MANY_REQUESTS || reply.status() == UNAVAILABLE)
-				? new StoreFailure.Unavailable(reason) : new StoreFailure.Ambiguous(reason);
+		return switch (reply.status()) {
+			case TOO_MANY_REQUESTS, UNAVAILABLE -> new StoreFailure.Unavailable(reason);
+			case BAD_REQUEST, FORBIDDEN, TOO_LARGE -> new StoreFailure.Rejected(reason);
+			default -> new StoreFailure.Ambiguous(reason);
+		};
 	}
 
 	private static Either<StoreFailure, JsonNode> body(HttpReply reply) {
--- a/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/CoordinatorTests.java
@@ -216,7 +216,7 @@
 
 	private void coordinate() {
 		long token = this.store.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
-		this.term = new Term(token, "", new Moment(Long.MAX_VALUE, Long.MAX_VALUE));
+		this.term = new Term(token, "", new Moment(Long.MAX_VALUE, Long.MAX_VALUE), Long.MAX_VALUE);
 		ClusterSettings settings = new ClusterSettings("test", "a",
 				new ClusterSettings.Listen(UNUSED_ADDRESS, UNUSED_ADDRESS, UNUSED_ADDRESS, UNUSED_ADDRESS),
 				UNUSED_ADDRESS, List.of(), 1, ClusterSettings.Coordination.DEFAULT, 1_000, 120_000,
--- a/src/test/java/org/citronrelay/internal/cluster/EffectExecutorTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/EffectExecutorTests.java
@@ -36,7 +36,7 @@
 
 	private final EffectExecutor executor = new EffectExecutor(
 			new Coordinator.Dependencies(null, null, null, null, null, Runnable::run, null, this.metrics),
-			new Term(17, "lease", new Moment(2_000, 2_000)), (event) -> {
+			new Term(17, "lease", new Moment(2_000, 2_000), Long.MAX_VALUE), (event) -> {
 			});
 
 	private final Logger logger = (Logger) Part.JOB.logger();
--- a/src/test/java/org/citronrelay/internal/cluster/SimulatedProcess.java
+++ b/src/test/java/org/citronrelay/internal/cluster/SimulatedProcess.java
@@ -335,7 +335,7 @@
 				0, (created) -> {
 					long token = created.getOrElseGet((failure) -> ownToken(failure, key));
 					if (token > 0) {
-						lead(new Term(token, lease, sentAt.plus(TERM_MS)));
+						lead(new Term(token, lease, sentAt.plus(TERM_MS), Long.MAX_VALUE));
 					}
 					else {
 						revoke(lease, this::takePart);
--- a/src/test/java/org/citronrelay/internal/cluster/TermCheckAtSendTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/TermCheckAtSendTests.java
@@ -36,7 +36,7 @@
 
 	private long now = 1_000;
 
-	private final Term term = new Term(7, "lease", new Moment(this.now + 2_000, Long.MAX_VALUE));
+	private final Term term = new Term(7, "lease", new Moment(this.now + 2_000, Long.MAX_VALUE), Long.MAX_VALUE);
 
 	private final EffectExecutor executor = new EffectExecutor(new Coordinator.Dependencies(null, null, null,
 			new RecordingClient(), null, this.calls::add, () -> this.now, new ClusterMetrics()), this.term,
