Keep the promise of a cancellation in the store

Hypotheses: (1) the cancellation is stored, and the coordinator misses it; (2) it is stored and removed too early; (3) nothing is stored for an unknown id, and the late write of the submission has no condition that fails. The record has no write between the 410 and the late one, which carries out with 200, and BatchJobService.cancel returned before its write if it found no job: 3.

Cause: a 410 is a promise about writes under way, also of other processes, frozen ones among them. Only the store meets them all. Class: a promise without a condition in the store.

Now the cancellation of an unknown id is stored as any other, on the condition that there is no job, and every submission expects that neither record, progress nor cancellation is stored under its id. The cancellation of a known job expects the record that was read, so that one that takes effect late does not cancel a later job with the same id, or stay behind alone. Whoever submits a cancelled id is told: 409. Cancellations of unknown ids are removed after the retention time of ended jobs, by revision; a removal that conflicts forgets only what is gone. A process that stood still for more than 5 s between the arrival of a submission and its sending does not send it.

--- a/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
+++ b/src/main/java/org/citronrelay/internal/cluster/BatchJobService.java
@@ -39,6 +39,12 @@
 	/** The pause between two attempts of a write, in milliseconds. */
 	private static final long WRITE_RETRY_PAUSE_MS = 20;
 
+	/**
+	 * How old a call may be when it is sent to the store, in milliseconds. A process that
+	 * stood still does not store what its caller has given up long ago.
+	 */
+	private static final long MAX_WRITE_AGE_MS = 5_000;
+
 	private static final byte[] CANCEL_MARKER = { '1' };
 
 	private final ClusterStore store;
@@ -68,29 +74,47 @@
 	 * again.
 	 */
 	public Submission submit(BatchJob job) {
-		Option<String> unreachable = storeUnreachable(this.ticker.millis());
+		long began = this.ticker.millis();
+		Option<String> unreachable = storeUnreachable(began);
 		if (unreachable.isDefined()) {
 			return new Submission.Refused(unreachable.get(), RETRY_AFTER_MS);
 		}
-		Map<String, Long> expected = Map.of(StoreKeys.JOBS + job.id(), 0L, StoreKeys.PROGRESS + job.id(), 0L);
-		return switch (create(StoreKeys.JOBS + job.id(), JobCodec.encode(job), expected)) {
+		return switch (create(StoreKeys.JOBS + job.id(), JobCodec.encode(job), nothingStored(job.id()), began)) {
 			case CreateResult.Stored _ -> new Submission.Accepted();
-			case CreateResult.Exists exists -> sameJob(job, exists.current()) ? new Submission.Accepted()
-					: new Submission.IdTaken("another job is stored under the id " + job.id());
+			case CreateResult.Exists exists -> existing(job, exists.current());
 			case CreateResult.NotStored notStored -> new Submission.Refused(notStored.reason(), RETRY_AFTER_MS);
 			case CreateResult.Unknown unknown -> new Submission.Unknown(unknown.reason());
 		};
 	}
 
 	/**
-	 * Whether the stored job is the submitted one, apart from the time of acceptance. Of
-	 * a job that has ended only the progress may be left.
+	 * The condition that neither a job nor a cancellation is stored under an id. Every
+	 * submission has it, so that one that takes effect late cannot run a job that was
+	 * cancelled or has ended in the meantime.
 	 */
-	private static boolean sameJob(BatchJob job, Map<String, KvEntry> current) {
-		KvEntry entry = current.get(StoreKeys.JOBS + job.id());
-		if (entry == null) {
-			return ProgressCodec.isOf(job, current.get(StoreKeys.PROGRESS + job.id()).value());
+	private static Map<String, Long> nothingStored(String id) {
+		return Map.of(StoreKeys.JOBS + id, 0L, StoreKeys.CANCELS + id, 0L, StoreKeys.PROGRESS + id, 0L);
+	}
+
+	/**
+	 * Compares a submission with what is stored under its id. Of a job that has ended
+	 * only the progress may be left.
+	 */
+	private static Submission existing(BatchJob job, Map<String, KvEntry> current) {
+		KvEntry record = current.get(StoreKeys.JOBS + job.id());
+		KvEntry progress = current.get(StoreKeys.PROGRESS + job.id());
+		if (record == null && progress == null) {
+			return new Submission.Cancelled();
 		}
+		boolean same = (record != null) ? sameJob(job, record) : ProgressCodec.isOf(job, progress.value());
+		return same ? new Submission.Accepted()
+				: new Submission.IdTaken("another job is stored under the id " + job.id());
+	}
+
+	/**
+	 * Whether a stored job is the submitted one, apart from the time of acceptance.
+	 */
+	private static boolean sameJob(BatchJob job, KvEntry entry) {
 		BatchJob stored = JobCodec.decode(job.id(), entry.value());
 		return new BatchJob(job.id(), job.queue(), job.team(), job.payload(), job.steps(), job.repeat(),
 				stored.acceptedAtMs())
@@ -99,21 +123,51 @@
 
 	/**
 	 * Stores the cancellation of a job, for the coordinator to carry out. A job that has
-	 * already ended keeps its phase.
+	 * already ended keeps its phase. The cancellation of an unknown id is stored too, so
+	 * that a submission of it that is still under way takes no effect.
 	 * @return the phase, which is {@code CANCELLED} once the cancellation is stored; none
 	 * if there is no such job; or why the cancellation is not confirmed
 	 */
 	public Either<String, Option<JobPhase>> cancel(String id) {
-		return phase(id).flatMap((phase) -> {
-			if (phase.isEmpty() || phase.get().ended()) {
-				return Either.right(phase);
-			}
-			return switch (create(StoreKeys.CANCELS + id, CANCEL_MARKER, Map.of(StoreKeys.CANCELS + id, 0L))) {
-				case CreateResult.Stored _, CreateResult.Exists _ -> Either.right(Option.some(JobPhase.CANCELLED));
-				case CreateResult.NotStored notStored -> Either.left(notStored.reason());
-				case CreateResult.Unknown unknown -> Either.left(unknown.reason());
-			};
-		});
+		long deadline = this.ticker.millis() + WRITE_RETRY_LIMIT_MS;
+		Option<String> unreachable = storeUnreachable(this.ticker.millis());
+		if (unreachable.isDefined()) {
+			return Either.left(unreachable.get());
+		}
+		Option<Either<String, Option<JobPhase>>> outcome = tryCancel(id);
+		while (outcome.isEmpty() && this.ticker.millis() < deadline) {
+			outcome = tryCancel(id);
+		}
+		return outcome.getOrElse(() -> Either.left("the job was submitted or has ended in the meantime"));
+	}
+
+	/**
+	 * Stores a cancellation on the condition that the job's record is the one that was
+	 * read.
+	 * @return none if it is not, since the job was submitted or has ended in the meantime
+	 */
+	private Option<Either<String, Option<JobPhase>>> tryCancel(String id) {
+		Either<StoreFailure, Option<JobPhase>> phase = progress(id);
+		if (phase.isLeft() || phase.get().exists(JobPhase::ended)) {
+			return Option.some(phase.mapLeft(StoreFailure::message));
+		}
+		Either<StoreFailure, Option<KvEntry>> read = this.store.read(StoreKeys.JOBS + id);
+		if (read.isLeft()) {
+			return Option.some(Either.left(read.getLeft().message()));
+		}
+		Option<KvEntry> record = read.get();
+		Map<String, Long> expected = record
+			.map((entry) -> Map.of(StoreKeys.JOBS + id, entry.revision(), StoreKeys.CANCELS + id, 0L))
+			.getOrElse(nothingStored(id));
+		Option<JobPhase> cancelled = record.map((_) -> JobPhase.CANCELLED);
+		return switch (create(StoreKeys.CANCELS + id, CANCEL_MARKER, expected, this.ticker.millis())) {
+			case CreateResult.Stored _ -> Option.some(Either.right(cancelled));
+			case CreateResult.Exists exists when exists.holdsBut(StoreKeys.CANCELS + id, expected) ->
+				Option.some(Either.right(cancelled));
+			case CreateResult.Exists _ -> Option.none();
+			case CreateResult.NotStored notStored -> Option.some(Either.left(notStored.reason()));
+			case CreateResult.Unknown unknown -> Option.some(Either.left(unknown.reason()));
+		};
 	}
 
 	/**
@@ -167,11 +221,21 @@
 				: Option.none();
 	}
 
-	private CreateResult create(String key, byte[] value, Map<String, Long> expected) {
+	/**
+	 * Creates a key.
+	 * @param expected the revisions that keys must have, also the one to create
+	 * @param began when the caller's call began, in monotonic milliseconds
+	 */
+	private CreateResult create(String key, byte[] value, Map<String, Long> expected, long began) {
 		Transaction create = new Transaction(expected, List.of(new Put(key, value, "")), List.of());
-		long deadline = this.ticker.millis() + WRITE_RETRY_LIMIT_MS;
+		long deadline = began + WRITE_RETRY_LIMIT_MS;
 		Option<StoreFailure> ambiguous = Option.none();
 		while (true) {
+			long age = this.ticker.millis() - began;
+			if (age > MAX_WRITE_AGE_MS) {
+				String reason = "the process stood still for " + age + " ms";
+				return ambiguous.isEmpty() ? new CreateResult.NotStored(reason) : new CreateResult.Unknown(reason);
+			}
 			Either<StoreFailure, Long> written = this.store.transact(create);
 			if (written.isRight()) {
 				this.onStored.accept(key, value);
@@ -203,6 +267,20 @@
 		}
 
 		record Exists(Map<String, KvEntry> current) implements CreateResult {
+
+			/**
+			 * Whether the key exists, and all other expectations hold.
+			 */
+			boolean holdsBut(String key, Map<String, Long> expected) {
+				return this.current.containsKey(key) && expected.entrySet()
+					.stream()
+					.filter((other) -> !other.getKey().equals(key))
+					.allMatch((other) -> Option.of(this.current.get(other.getKey()))
+						.map(KvEntry::revision)
+						.getOrElse(0L)
+						.equals(other.getValue()));
+			}
+
 		}
 
 		record NotStored(String reason) implements CreateResult {
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import org.citronrelay.internal.batch.BatchJob;
 import org.citronrelay.internal.batch.JobCodec;
+import org.citronrelay.internal.cluster.CoordinatorEvent.CancelForgotten;
 import org.citronrelay.internal.cluster.CoordinatorEvent.CancelStored;
 import org.citronrelay.internal.cluster.CoordinatorEvent.CatalogueChanged;
 import org.citronrelay.internal.cluster.CoordinatorEvent.JobForgotten;
@@ -210,7 +211,9 @@
 		Moment now = now();
 		switch (event) {
 			case JobStored stored -> jobStored(stored.job(), now);
-			case CancelStored stored -> this.scheduler.cancelRequested(stored.job(), now);
+			case CancelStored stored -> this.scheduler.cancelRequested(stored.job(), stored.revision(), now);
+			case CancelForgotten forgotten ->
+				this.scheduler.cancelRequestForgotten(forgotten.job(), forgotten.revision());
 			case JobRemoved removed -> this.scheduler.recordRemoved(removed.job());
 			case JobForgotten forgotten -> this.scheduler.jobForgotten(forgotten.job(), forgotten.revision());
 			case VmRegistered registered -> ErrorBoundary.run("apply a registration",
@@ -316,7 +319,7 @@
 					() -> enqueue(new JobStored(JobCodec.decode(id, entry.value()))));
 		}
 		else if (entry.key().startsWith(StoreKeys.CANCELS)) {
-			enqueue(new CancelStored(entry.key().substring(StoreKeys.CANCELS.length())));
+			enqueue(new CancelStored(entry.key().substring(StoreKeys.CANCELS.length()), entry.revision()));
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
+++ b/src/main/java/org/citronrelay/internal/cluster/CoordinatorEvent.java
@@ -19,7 +19,22 @@
 	record JobStored(BatchJob job) implements CoordinatorEvent {
 	}
 
-	record CancelStored(String job) implements CoordinatorEvent {
+	/**
+	 * A cancellation was stored.
+	 *
+	 * @param job the id of the job
+	 * @param revision the revision of its record, 0 if it is not known
+	 */
+	record CancelStored(String job, long revision) implements CoordinatorEvent {
+	}
+
+	/**
+	 * The cancellation of a job that was never stored was removed.
+	 *
+	 * @param job the id of the job
+	 * @param revision the revision of the record that was removed
+	 */
+	record CancelForgotten(String job, long revision) implements CoordinatorEvent {
 	}
 
 	record JobRemoved(String job) implements CoordinatorEvent {
--- a/src/main/java/org/citronrelay/internal/cluster/Housekeeping.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Housekeeping.java
@@ -32,10 +32,10 @@
 	private static final long SWEEP_BACKLOG_INTERVAL_MS = 250;
 
 	/**
-	 * How many ended jobs one transaction removes: each takes an expectation and three
-	 * keys, and one entry is the check of the term.
+	 * How many removals fit into one transaction, of which one entry is the check of the
+	 * term.
 	 */
-	private static final int SWEEP_BATCH_SIZE = (ClusterStore.TRANSACTION_ENTRIES - 1) / 4;
+	private static final int SWEEP_BATCH_SIZE = (ClusterStore.TRANSACTION_ENTRIES - 1) / Removal.ENTRIES;
 
 	private final ClusterStore store;
 
@@ -88,7 +88,12 @@
 			publish(scheduler.queuedJobsByQueue());
 		}
 		if (now >= this.sweepAt) {
-			sweep(scheduler.endedBefore(now - this.keepEndedMs), now);
+			List<Removal> due = new ArrayList<>();
+			scheduler.endedBefore(now - this.keepEndedMs)
+				.forEach((job, revision) -> due.add(Removal.ofEndedJob(job, revision)));
+			scheduler.cancelRequestsWithoutJobBefore(now - this.keepEndedMs)
+				.forEach((job, revision) -> due.add(Removal.ofCancelRequest(job, revision)));
+			sweep(due, now);
 		}
 		return this.statistics;
 	}
@@ -118,27 +123,24 @@
 	}
 
 	/**
-	 * Removes the records of ended jobs, each only while its progress is the one that is
-	 * known: the caller may have submitted the job again since.
+	 * Removes records, each only while it is the one that is known: the caller may have
+	 * submitted the job again since.
 	 */
-	private void sweep(Map<String, Long> ended, long now) {
-		this.sweepAt = now + ((ended.size() > SWEEP_BATCH_SIZE) ? SWEEP_BACKLOG_INTERVAL_MS : SWEEP_INTERVAL_MS);
-		if (ended.isEmpty()) {
+	private void sweep(List<Removal> due, long now) {
+		this.sweepAt = now + ((due.size() > SWEEP_BATCH_SIZE) ? SWEEP_BACKLOG_INTERVAL_MS : SWEEP_INTERVAL_MS);
+		if (due.isEmpty()) {
 			return;
 		}
 		Map<String, Long> expected = new HashMap<>(Map.of(StoreKeys.COORDINATOR, this.token));
 		List<String> removes = new ArrayList<>();
-		List<CoordinatorEvent.JobForgotten> removed = new ArrayList<>();
-		ended.entrySet().stream().limit(SWEEP_BATCH_SIZE).forEach((job) -> {
-			removed.add(new CoordinatorEvent.JobForgotten(job.getKey(), job.getValue()));
-			expected.put(StoreKeys.PROGRESS + job.getKey(), job.getValue());
-			removes.add(StoreKeys.JOBS + job.getKey());
-			removes.add(StoreKeys.CANCELS + job.getKey());
-			removes.add(StoreKeys.PROGRESS + job.getKey());
+		List<Removal> batch = due.stream().limit(SWEEP_BATCH_SIZE).toList();
+		batch.forEach((removal) -> {
+			expected.putAll(removal.expected());
+			removes.addAll(removal.keys());
 		});
 		Transaction transaction = new Transaction(expected, List.of(), removes);
 		this.executor.execute(() -> this.store.transact(transaction)
-			.peek((revision) -> removed.forEach(this.events))
+			.peek((revision) -> batch.forEach((removal) -> this.events.accept(removal.event())))
 			.peekLeft((failure) -> {
 				Part.PLATFORM.logger()
 					.atWarn()
@@ -146,20 +148,11 @@
 					.addKeyValue("keysToRemove", removes.size())
 					.log("Could not remove the records of ended jobs; retries with the next sweep.");
 				if (failure instanceof StoreFailure.Conflict conflict) {
-					removed.stream().filter((job) -> !stillStored(job, conflict)).forEach(this.events);
+					batch.stream()
+						.filter((removal) -> !removal.stillDue(conflict))
+						.forEach((removal) -> this.events.accept(removal.event()));
 				}
 			}));
 	}
 
-	/**
-	 * Whether the progress of a job is still stored after a conflict. It is not if an
-	 * earlier removal took effect though its answer was lost.
-	 */
-	private static boolean stillStored(CoordinatorEvent.JobForgotten job, StoreFailure.Conflict conflict) {
-		return conflict.current()
-			.stream()
-			.anyMatch((entry) -> entry.key().equals(StoreKeys.PROGRESS + job.job())
-					&& entry.revision() == job.revision());
-	}
-
 }
--- a/src/main/java/org/citronrelay/internal/cluster/Submission.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Submission.java
@@ -6,11 +6,17 @@
 public sealed interface Submission {
 
 	/**
-	 * The job is stored and will run.
+	 * The job is stored and will run, unless it has ended or was cancelled.
 	 */
 	record Accepted() implements Submission {
 	}
 
+	/**
+	 * The id was cancelled before the job was stored; the job will not run.
+	 */
+	record Cancelled() implements Submission {
+	}
+
 	/**
 	 * This submission stored nothing, and will not. An earlier one with the same id may
 	 * have been accepted.
--- a/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
+++ b/src/main/java/org/citronrelay/internal/schedule/ClusterScheduler.java
@@ -1,11 +1,9 @@
 package org.citronrelay.internal.schedule;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 
 import org.citronrelay.internal.batch.BatchJob;
@@ -33,7 +31,7 @@
 
 	private final ProgressWrites progressWrites = new ProgressWrites(this.jobs);
 
-	private final Set<String> cancelRequests = new HashSet<>();
+	private final CancelRequests cancelRequests = new CancelRequests();
 
 	private final VmRegistry vms;
 
@@ -118,9 +116,10 @@
 
 	/**
 	 * Cancels a job for its caller; if the job is still unknown, as soon as it is added.
+	 * @param revision the revision of the stored request, 0 if it is not known
 	 */
-	public void cancelRequested(String jobId, Moment now) {
-		this.cancelRequests.add(jobId);
+	public void cancelRequested(String jobId, long revision, Moment now) {
+		this.cancelRequests.add(jobId, revision, now);
 		JobState job = this.jobs.get(jobId);
 		if (job != null) {
 			cancelIfRequested(job, now);
@@ -150,9 +149,7 @@
 		this.endedJobs.forget(jobId, revision);
 	}
 
-	/**
-	 * Removes a job that cannot be scheduled.
-	 */
+	/** Removes a job that cannot be scheduled. */
 	public void jobRemoved(String jobId) {
 		this.jobs.remove(jobId);
 		this.cancelRequests.remove(jobId);
@@ -301,15 +298,28 @@
 	 */
 	public Map<String, Long> endedBefore(long before) {
 		Map<String, Long> ended = new LinkedHashMap<>();
-		for (JobState job : this.jobs.values()) {
-			if (job.phase.ended() && job.endedAt < before && !job.unstored && !job.storing && !job.occupiesCapacity()) {
-				ended.put(job.id(), job.revision);
-			}
-		}
+		this.jobs.values()
+			.stream()
+			.filter((job) -> job.endIsStored() && job.endedAt < before)
+			.forEach((job) -> ended.put(job.id(), job.revision));
 		this.endedJobs.addEndedBefore(before, ended);
 		return ended;
 	}
 
+	/**
+	 * Returns the requests to cancel a job that was never stored, which became known
+	 * before a point in time, with the revisions of their records, by job id.
+	 * @param before the point in time, in monotonic milliseconds
+	 */
+	public Map<String, Long> cancelRequestsWithoutJobBefore(long before) {
+		return this.cancelRequests.withoutJobBefore(before, this.jobs::containsKey);
+	}
+
+	/** Records that a stored request to cancel a job was removed. */
+	public void cancelRequestForgotten(String jobId, long revision) {
+		this.cancelRequests.forget(jobId, revision);
+	}
+
 	/**
 	 * Returns how many jobs of each queue have not started. Jobs with due times are not
 	 * counted.
--- a/src/main/java/org/citronrelay/internal/schedule/JobState.java
+++ b/src/main/java/org/citronrelay/internal/schedule/JobState.java
@@ -91,6 +91,13 @@
 			.anyMatch((task) -> task.phase.occupiesCapacity());
 	}
 
+	/**
+	 * Whether the job has ended and has no runs, all of which is stored.
+	 */
+	boolean endIsStored() {
+		return this.phase.ended() && !this.unstored && !this.storing && !occupiesCapacity();
+	}
+
 	boolean allDone() {
 		return this.steps.stream().allMatch(StepState::done);
 	}
--- a/src/main/java/org/citronrelay/platform/PlatformJobApi.java
+++ b/src/main/java/org/citronrelay/platform/PlatformJobApi.java
@@ -130,6 +130,11 @@
 		}
 		return switch (this.jobs.submit(job.get())) {
 			case Submission.Accepted _ -> HttpReply.json(OK, Json.object());
+			case Submission.Cancelled _ ->
+				Problem
+					.of(409, "cancelled", "The id was cancelled before a job was stored; the job will not run.",
+							"Choose another id to run the job.")
+					.reply();
 			case Submission.Refused refused ->
 				unavailable("This call stored no job: " + refused.reason(), refused.retryAfterMs());
 			case Submission.IdTaken taken ->
--- a/src/test/java/org/citronrelay/internal/cluster/EndedJobRecordsTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/EndedJobRecordsTests.java
@@ -147,7 +147,7 @@
 		this.service.submit(this.job);
 		this.scheduler.jobAdded(this.job, moment());
 		this.service.cancel("a");
-		this.scheduler.cancelRequested("a", moment());
+		this.scheduler.cancelRequested("a", 0, moment());
 		ProgressTransaction progress = new ProgressTransaction(this.token,
 				this.scheduler.writes(ProgressTransaction.LIMITS));
 		progress.apply(this.memory.transact(progress.transaction()), this.scheduler);
--- a/src/test/java/org/citronrelay/internal/cluster/HousekeepingTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/HousekeepingTests.java
@@ -169,7 +169,7 @@
 	private void endJob(String id) {
 		submit(id);
 		this.service.cancel(id);
-		this.scheduler.cancelRequested(id, moment());
+		this.scheduler.cancelRequested(id, 0, moment());
 		ProgressTransaction progress = new ProgressTransaction(this.token,
 				this.scheduler.writes(ProgressTransaction.LIMITS));
 		progress.apply(this.memory.transact(progress.transaction()), this.scheduler);
@@ -182,8 +182,12 @@
 	}
 
 	private void removed(CoordinatorEvent event) {
-		CoordinatorEvent.JobForgotten forgotten = (CoordinatorEvent.JobForgotten) event;
-		this.scheduler.jobForgotten(forgotten.job(), forgotten.revision());
+		switch (event) {
+			case CoordinatorEvent.JobForgotten job -> this.scheduler.jobForgotten(job.job(), job.revision());
+			case CoordinatorEvent.CancelForgotten cancel ->
+				this.scheduler.cancelRequestForgotten(cancel.job(), cancel.revision());
+			default -> throw new IllegalArgumentException(event.toString());
+		}
 	}
 
 	private Moment moment() {
--- a/src/test/java/org/citronrelay/internal/cluster/SimulatedCoordinator.java
+++ b/src/test/java/org/citronrelay/internal/cluster/SimulatedCoordinator.java
@@ -200,7 +200,7 @@
 		}
 		else {
 			String id = entry.key().substring(StoreKeys.CANCELS.length());
-			enqueue(() -> this.scheduler.cancelRequested(id, this.process.now()));
+			enqueue(() -> this.scheduler.cancelRequested(id, entry.revision(), this.process.now()));
 		}
 	}
 
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerFaultTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerFaultTests.java
@@ -246,7 +246,7 @@
 				.findFirst()
 				.ifPresent((job) -> {
 					cancelled.add(job);
-					fixture.scheduler.cancelRequested(job, fixture.moment());
+					fixture.scheduler.cancelRequested(job, 0, fixture.moment());
 				});
 			case 12 -> {
 				fixture.scheduler.vmDeregistered(vm.id);
--- a/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/ClusterSchedulerTests.java
@@ -151,7 +151,7 @@
 		this.fixture.advanceTime(500);
 		long before = this.fixture.startsOf("job");
 		// when
-		this.fixture.scheduler.cancelRequested("job", this.fixture.moment());
+		this.fixture.scheduler.cancelRequested("job", 0, this.fixture.moment());
 		this.fixture.advanceTime(10_000);
 		// then
 		assertThat(vm.running).isEmpty();
@@ -164,7 +164,7 @@
 		// given
 		this.fixture.vm("vm1", "r1");
 		// when
-		this.fixture.scheduler.cancelRequested("job", this.fixture.moment());
+		this.fixture.scheduler.cancelRequested("job", 0, this.fixture.moment());
 		this.fixture.submit("job", "bulk", SchedulerFixture.step(1, SchedulerFixture.SMALL, 500));
 		this.fixture.advanceTime(1_000);
 		// then
--- a/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
+++ b/src/test/java/org/citronrelay/internal/schedule/VmCrashTests.java
@@ -407,7 +407,7 @@
 		submitCrashing(SchedulerFixture.step(1, SchedulerFixture.SMALL, 3_000));
 		this.fixture.advanceTime(4_000);
 		// when
-		this.fixture.scheduler.cancelRequested("crashing", this.fixture.moment());
+		this.fixture.scheduler.cancelRequested("crashing", 0, this.fixture.moment());
 		this.fixture.advanceTime(60_000);
 		// then
 		assertThat(this.fixture.phase("crashing")).isEqualTo("CANCELLED");
