--- a/src/test/java/org/citronrelay/internal/cluster/EndedJobRecordsTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/EndedJobRecordsTests.java
@@ -122,7 +122,8 @@
 		this.memory.loseAnswers(2);
 		// when
 		for (int second = 0; second < 20; second++) {
-			housekeeping.run(this.scheduler, this.now += 1_000);
+			this.now += 1_000;
+			housekeeping.run(this.scheduler, this.now);
 		}
 		// then
 		assertThat(this.scheduler.endedBefore(this.now)).isEmpty();
--- a/src/test/java/org/citronrelay/internal/cluster/LateSubmissionTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/LateSubmissionTests.java
@@ -136,7 +136,7 @@
 		boolean[] suspended = new boolean[1];
 		BatchJobService suspendedService = new BatchJobService(this.memory, () -> {
 			long before = this.now;
-			this.now += suspended[0] ? 0 : 60_000;
+			this.now += (suspended[0]) ? 0 : 60_000;
 			suspended[0] = true;
 			return before;
 		}, () -> StoreReachability.REACHABLE, (key, value) -> {
--- a/src/test/java/org/citronrelay/internal/cluster/SimulatedStore.java
+++ b/src/test/java/org/citronrelay/internal/cluster/SimulatedStore.java
@@ -139,9 +139,10 @@
 			this.leaseOfKey.put(put.key(), put.lease());
 			this.history.computeIfAbsent(this.revision, (_) -> new ArrayList<>()).add(put.key());
 		});
-		transaction.removes().stream().filter((key) -> this.entries.remove(key) != null).forEach((key) -> {
-			this.history.computeIfAbsent(this.revision, (_) -> new ArrayList<>()).add(key);
-		});
+		transaction.removes()
+			.stream()
+			.filter((key) -> this.entries.remove(key) != null)
+			.forEach((key) -> this.history.computeIfAbsent(this.revision, (_) -> new ArrayList<>()).add(key));
 		notifyWatches();
 		return Either.right(this.revision);
 	}
