Copy the head of an answer before its connection is used again

The reader of a streamed answer runs beside the thread that receives it, and Grizzly may use the packet for the next answer by then. Found while reading the diff; not seen to fail. The header with the limit of a relayed call is not passed on to the store.

--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -1,6 +1,8 @@
 package org.citronrelay.internal.cluster;
 
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -206,8 +208,11 @@
 	HttpReply relayForPeer(HttpCall call, TimeLimit limit) {
 		long answerMs = call.header(ANSWER_LIMIT).flatMap(StoreRoute::milliseconds).getOrElse(limit.answerMs());
 		TimeLimit allowed = limit.plusWait(answerMs - limit.answerMs());
-		HttpCall inner = new HttpCall(call.method(), call.path().substring(RELAY.length()), call.query(),
-				call.headers(), call.body());
+		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		headers.putAll(call.headers());
+		headers.remove(ANSWER_LIMIT);
+		HttpCall inner = new HttpCall(call.method(), call.path().substring(RELAY.length()), call.query(), headers,
+				call.body());
 		return switch (recorded(() -> this.transport.stream(this.store, inner, allowed))) {
 			case Exchange.Answered answered -> answered.reply();
 			case Exchange.NotSent notSent -> storeUnreachable(UNAVAILABLE, notSent.reason());
--- a/src/main/java/org/citronrelay/internal/http/AnswerPart.java
+++ b/src/main/java/org/citronrelay/internal/http/AnswerPart.java
@@ -1,5 +1,8 @@
 package org.citronrelay.internal.http;
 
+import java.util.Map;
+import java.util.TreeMap;
+
 import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /**
@@ -10,11 +13,11 @@
 	/**
 	 * Some bytes of the body.
 	 *
-	 * @param header the status line and the headers of the answer
+	 * @param head the beginning of the answer
 	 * @param bytes the bytes, possibly none
 	 * @param last whether the body ends with them
 	 */
-	record Bytes(HttpResponsePacket header, byte[] bytes, boolean last) implements AnswerPart {
+	record Bytes(Head head, byte[] bytes, boolean last) implements AnswerPart {
 	}
 
 	/**
@@ -26,4 +29,28 @@
 	record Lost(String reason, boolean unanswered) implements AnswerPart {
 	}
 
+	/**
+	 * The beginning of an answer.
+	 *
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 * @param length the declared length of the body, negative if there is none
+	 * @param chunked whether the body is chunked
+	 */
+	record Head(int status, Map<String, String> headers, long length, boolean chunked) {
+
+		/**
+		 * Copies what is needed of a packet, which Grizzly may use for another answer
+		 * afterwards.
+		 */
+		static Head of(HttpResponsePacket packet) {
+			Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+			for (String name : packet.getHeaders().names()) {
+				headers.put(name, packet.getHeader(name));
+			}
+			return new Head(packet.getStatus(), headers, packet.getContentLength(), packet.isChunked());
+		}
+
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/http/PendingAnswer.java
+++ b/src/main/java/org/citronrelay/internal/http/PendingAnswer.java
@@ -3,8 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +31,11 @@
 
 	private final long sentBytes;
 
+	/**
+	 * The beginning of the answer, null before; used by the thread that adds parts only.
+	 */
+	private AnswerPart.Head head;
+
 	/** How many bytes have arrived; used by the thread that adds parts only. */
 	private int arrivedBytes;
 
@@ -71,7 +74,10 @@
 			fail("the answer is larger than " + maxBytes + " bytes");
 			return;
 		}
-		this.parts.add(new AnswerPart.Bytes((HttpResponsePacket) content.getHttpHeader(), bytes, content.isLast()));
+		if (this.head == null) {
+			this.head = AnswerPart.Head.of((HttpResponsePacket) content.getHttpHeader());
+		}
+		this.parts.add(new AnswerPart.Bytes(this.head, bytes, content.isLast()));
 	}
 
 	void fail(String reason) {
@@ -91,7 +97,7 @@
 				case AnswerPart.Bytes part -> {
 					body.writeBytes(part.bytes());
 					if (part.last()) {
-						return complete(part.header(), body.toByteArray());
+						return complete(part.head(), body.toByteArray());
 					}
 				}
 			}
@@ -129,9 +135,9 @@
 	Exchange begin(TimeLimit limit, Consumer<Exchange> onEnd) {
 		return switch (next(limit)) {
 			case AnswerPart.Lost lost -> ended(new Exchange.Broken(lost.reason(), lost.unanswered()), onEnd);
-			case AnswerPart.Bytes part when part.last() -> ended(complete(part.header(), part.bytes()), onEnd);
+			case AnswerPart.Bytes part when part.last() -> ended(complete(part.head(), part.bytes()), onEnd);
 			case AnswerPart.Bytes part ->
-				new Exchange.Answered(new HttpReply(part.header().getStatus(), headers(part.header()), part.bytes(),
+				new Exchange.Answered(new HttpReply(part.head().status(), part.head().headers(), part.bytes(),
 						Option.some(new Rest(limit, onEnd)), HttpReply.Delivery.COMPLETE));
 		};
 	}
@@ -156,24 +162,15 @@
 	 * Returns a complete answer. One that is neither chunked nor declares its length
 	 * counts as broken, because its end cannot be told from a lost connection.
 	 */
-	private static Exchange complete(HttpResponsePacket header, byte[] body) {
-		long length = header.getContentLength();
-		if (length < 0 && !header.isChunked()) {
+	private static Exchange complete(AnswerPart.Head head, byte[] body) {
+		if (head.length() < 0 && !head.chunked()) {
 			return new Exchange.Broken("the answer is neither chunked nor declares its length", false);
 		}
-		if (length >= 0 && length != body.length) {
-			return new Exchange.Broken("the answer is incomplete: got " + body.length + " of " + length + " bytes",
-					false);
-		}
-		return new Exchange.Answered(new HttpReply(header.getStatus(), headers(header), body));
-	}
-
-	private static Map<String, String> headers(HttpResponsePacket header) {
-		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-		for (String name : header.getHeaders().names()) {
-			headers.put(name, header.getHeader(name));
+		if (head.length() >= 0 && head.length() != body.length) {
+			return new Exchange.Broken(
+					"the answer is incomplete: got " + body.length + " of " + head.length() + " bytes", false);
 		}
-		return headers;
+		return new Exchange.Answered(new HttpReply(head.status(), head.headers(), body));
 	}
 
 	/**
@@ -202,7 +199,7 @@
 						out.flush();
 						if (part.last()) {
 							this.outcome = new Exchange.Answered(
-									new HttpReply(part.header().getStatus(), headers(part.header()), new byte[0]));
+									new HttpReply(part.head().status(), part.head().headers(), new byte[0]));
 							return;
 						}
 					}
