--- a/src/test/java/org/citronrelay/internal/cluster/LateSubmissionTests.java
+++ b/src/test/java/org/citronrelay/internal/cluster/LateSubmissionTests.java
@@ -20,6 +20,8 @@
 
 	private static final String JOB = "a";
 
+	private static final long KEEP_ENDED_MS = 120_000;
+
 	private final InMemoryClusterStore memory = new InMemoryClusterStore();
 
 	/** The way to the store of the process that the job is submitted to. */
@@ -150,14 +152,11 @@
 	void theCancellationOfAnUnknownJobIsRemovedAfterTheRetentionTimeOnly() {
 		// given
 		this.other.cancel(JOB);
-		long token = this.memory.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
-		ClusterScheduler scheduler = new ClusterScheduler(ClusterSettings.Coordination.DEFAULT.timings(), moment());
-		Housekeeping housekeeping = new Housekeeping(this.memory, Runnable::run, token, 120_000,
-				(event) -> scheduler.cancelRequestForgotten(((CoordinatorEvent.CancelForgotten) event).job(),
-						((CoordinatorEvent.CancelForgotten) event).revision()));
+		ClusterScheduler scheduler = scheduler();
+		Housekeeping housekeeping = housekeeping(scheduler);
 		scheduler.cancelRequested(JOB, this.memory.read(StoreKeys.CANCELS + JOB).get().get().revision(), moment());
 		// when
-		runFor(housekeeping, scheduler, 115_000);
+		runFor(housekeeping, scheduler, KEEP_ENDED_MS - 5_000);
 		assertThat(this.other.submit(this.job)).isInstanceOf(Submission.Cancelled.class);
 		runFor(housekeeping, scheduler, 15_000);
 		// then
@@ -169,18 +168,27 @@
 	@Test
 	void theCancellationOfAnUnknownJobThatWasReportedByANoticeOnlyIsForgotten() {
 		// given
-		ClusterScheduler scheduler = new ClusterScheduler(ClusterSettings.Coordination.DEFAULT.timings(), moment());
-		long token = this.memory.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
-		Housekeeping housekeeping = new Housekeeping(this.memory, Runnable::run, token, 120_000,
-				(event) -> scheduler.cancelRequestForgotten(((CoordinatorEvent.CancelForgotten) event).job(),
-						((CoordinatorEvent.CancelForgotten) event).revision()));
+		ClusterScheduler scheduler = scheduler();
+		Housekeeping housekeeping = housekeeping(scheduler);
 		// when
 		scheduler.cancelRequested(JOB, 0, moment());
-		runFor(housekeeping, scheduler, 130_000);
+		runFor(housekeeping, scheduler, KEEP_ENDED_MS + 10_000);
 		// then
 		assertThat(scheduler.cancelRequestsWithoutJobBefore(this.now + 1)).isEmpty();
 	}
 
+	private ClusterScheduler scheduler() {
+		return new ClusterScheduler(ClusterSettings.Coordination.DEFAULT.timings(), moment());
+	}
+
+	private Housekeeping housekeeping(ClusterScheduler scheduler) {
+		long token = this.memory.transact(Transaction.create(StoreKeys.COORDINATOR, new byte[0], "")).get();
+		return new Housekeeping(this.memory, Runnable::run, token, KEEP_ENDED_MS, (event) -> {
+			CoordinatorEvent.CancelForgotten forgotten = (CoordinatorEvent.CancelForgotten) event;
+			scheduler.cancelRequestForgotten(forgotten.job(), forgotten.revision());
+		});
+	}
+
 	private void runFor(Housekeeping housekeeping, ClusterScheduler scheduler, long millis) {
 		for (long end = this.now + millis; this.now < end; this.now += 1_000) {
 			housekeeping.run(scheduler, this.now);
