--- a/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
+++ b/src/main/java/org/citronrelay/internal/cluster/ClusterProcess.java
@@ -13,6 +13,7 @@
 import org.citronrelay.internal.http.HttpLimits;
 import org.citronrelay.internal.http.HttpReply;
 import org.citronrelay.internal.http.Problem;
+import org.citronrelay.internal.http.TimeLimit;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.schedule.ClusterScheduler;
 import org.citronrelay.internal.time.Pause;
@@ -32,8 +33,14 @@
 	 */
 	private static final long BALANCER_NOTICE_MS = 2_200;
 
-	/** The time limit of a store call on behalf of a peer, in milliseconds. */
-	private static final long RELAY_TIMEOUT_MS = 700;
+	/** The time limit of a store call on behalf of a peer that names none. */
+	private static final TimeLimit RELAY_LIMIT = TimeLimit.ofSilence(700);
+
+	/**
+	 * The largest call of a peer, in bytes: a transaction with one value of the largest
+	 * size, in Base64, and others.
+	 */
+	static final int MAX_PEER_CALL_BYTES = 4 * 1024 * 1024;
 
 	private static final int OK = 200;
 
@@ -79,16 +86,16 @@
 		this.settings = settings;
 		this.adapter = adapter;
 		this.peers = new PeerRegistry(settings);
-		this.route = new StoreRoute((to, call, timeoutMs) -> this.client.exchange(to, call, timeoutMs, false),
-				settings.store(), this.peers::others, this.ticker, this.metrics);
+		this.route = new StoreRoute(StoreRoute.Transport.of(this.client), settings.store(), this.peers::others,
+				this.ticker, this.metrics);
 		this.store = adapter.store(this.route);
 		this.catalogue = new CatalogueWatch(this.store, adapter.recordReader());
 		this.election = new Election(
 				this.store, this.ticker, new Election.Candidate(settings.process() + "/" + UUID.randomUUID(),
 						settings.listen().peers(), settings.cores()),
 				settings.coordination().termMs(), this::coordinate);
-		this.notifier = new WorkNotifier((to, call, timeoutMs) -> this.client.exchange(to, call, timeoutMs, false),
-				this.executor, this.coordinator, this.election::coordinatorAddress);
+		this.notifier = new WorkNotifier(StoreRoute.Transport.of(this.client), this.executor, this.coordinator,
+				this.election::coordinatorAddress);
 	}
 
 	/**
@@ -105,8 +112,8 @@
 		this.metrics.registerGauges(this::statistics, () -> this.catalogue.current().version());
 		this.metricsEndpoint = HttpEndpoint.start(this.settings.listen().metrics(), HttpLimits.DEFAULT,
 				(call) -> HttpReply.text(OK, this.metrics.scrape()));
-		this.peerEndpoint = HttpEndpoint.start(this.settings.listen().peers(), HttpLimits.DEFAULT,
-				this::handlePeerCall);
+		this.peerEndpoint = HttpEndpoint.start(this.settings.listen().peers(),
+				HttpLimits.DEFAULT.withBodyBytes(MAX_PEER_CALL_BYTES), this::handlePeerCall);
 		this.catalogue.onChange((newCatalogue) -> {
 			Coordinator current = this.coordinator.get();
 			if (current != null) {
@@ -206,7 +213,7 @@
 		if (!call.path().startsWith(StoreRoute.RELAY)) {
 			return Problem.of(404, "no-such-path", "This endpoint has no such path.", "Check the path.").reply();
 		}
-		return this.route.relayForPeer(call, RELAY_TIMEOUT_MS);
+		return this.route.relayForPeer(call, RELAY_LIMIT);
 	}
 
 }
--- a/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
+++ b/src/main/java/org/citronrelay/internal/cluster/Coordinator.java
@@ -164,6 +164,10 @@
 		return this.dependencies.store()
 			.list(StoreKeys.PROGRESS)
 			.peek((snapshot) -> snapshot.entries().forEach(this::restoreProgress))
+			.peekLeft((failure) -> Part.PLATFORM.logger()
+				.atWarn()
+				.addKeyValue("reason", failure.message())
+				.log("Could not load the progress of jobs; loads everything again."))
 			.isRight();
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/PrefixWatcher.java
+++ b/src/main/java/org/citronrelay/internal/cluster/PrefixWatcher.java
@@ -11,6 +11,7 @@
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
 import org.citronrelay.internal.time.Pause;
+import org.slf4j.event.Level;
 
 /**
  * Reports the keys under a prefix and their changes: one list, then watch calls, and
@@ -134,9 +135,13 @@
 		ErrorBoundary.run("apply the record " + entry.key(), () -> this.onWritten.accept(entry));
 	}
 
+	/**
+	 * Logs a failed call: as a warning while nothing was read yet, since nothing can be
+	 * done without a first list.
+	 */
 	private void logFailure(StoreFailure failure) {
 		Part.PLATFORM.logger()
-			.atDebug()
+			.atLevel((this.revision > 0) ? Level.DEBUG : Level.WARN)
 			.addKeyValue("prefix", this.prefix)
 			.addKeyValue("reason", failure.message())
 			.log("A list or watch call failed; lists all keys again.");
--- a/src/main/java/org/citronrelay/internal/cluster/StoreProbe.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreProbe.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 
 import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.TimeLimit;
 import org.citronrelay.internal.time.Pause;
 
 /**
@@ -18,15 +19,14 @@
 	private static final int DIRECT_PROBES_PER_PEER_PROBE = 2;
 
 	/**
-	 * The time limit of a direct probe, in milliseconds. A probe does not delay the next.
+	 * The time limit of a direct probe. A probe does not delay the next.
 	 */
-	private static final long DIRECT_TIMEOUT_MS = 600;
+	private static final TimeLimit DIRECT_LIMIT = TimeLimit.total(600);
 
 	/**
-	 * The time limit of a probe through a peer, in milliseconds: the peer's own limit and
-	 * the way there.
+	 * The time limit of a probe through a peer: the peer's own limit and the way there.
 	 */
-	private static final long PEER_TIMEOUT_MS = 900;
+	private static final TimeLimit PEER_LIMIT = TimeLimit.total(900);
 
 	private final StoreRoute route;
 
@@ -57,10 +57,10 @@
 	private void probe() {
 		boolean lost = this.route.reachability().lost();
 		if (lost || this.route.directWayAvoided()) {
-			this.executor.execute(() -> this.route.probeDirectly(this.read, DIRECT_TIMEOUT_MS));
+			this.executor.execute(() -> this.route.probeDirectly(this.read, DIRECT_LIMIT));
 		}
 		if (lost && this.count++ % DIRECT_PROBES_PER_PEER_PROBE == 0) {
-			this.executor.execute(() -> this.route.probePeer(this.read, PEER_TIMEOUT_MS));
+			this.executor.execute(() -> this.route.probePeer(this.read, PEER_LIMIT));
 		}
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
+++ b/src/main/java/org/citronrelay/internal/cluster/StoreRoute.java
@@ -6,11 +6,15 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
+import io.vavr.control.Option;
+import io.vavr.control.Try;
 import org.citronrelay.internal.http.Address;
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
+import org.citronrelay.internal.http.HttpClient;
 import org.citronrelay.internal.http.HttpReply;
 import org.citronrelay.internal.http.Problem;
+import org.citronrelay.internal.http.TimeLimit;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.time.Ticker;
 
@@ -29,9 +33,15 @@
 	 */
 	private static final long DIRECT_RETRY_MS = 1_000;
 
+	/** The header of a relayed call that has its {@link TimeLimit#answerMs}. */
+	private static final String ANSWER_LIMIT = "Relay-Answer-Ms";
+
 	/** Added to the time limit of a call that goes through a peer, in milliseconds. */
 	private static final long RELAY_OVERHEAD_MS = 100;
 
+	/** The longest time that a peer may let a call wait at the store, in milliseconds. */
+	private static final long MAX_ANSWER_MS = 60_000;
+
 	/**
 	 * How many peers are tried for one call, the second only if the first failed within
 	 * the time limit.
@@ -82,17 +92,16 @@
 
 	/**
 	 * Sends a call directly or, if that fails, through a peer.
-	 * @param timeoutMs the time limit of the direct call and of each call to a peer, in
-	 * milliseconds
+	 * @param limit the time limit of the direct call and of each call to a peer
 	 * @return the store's answer; if there is none, a failure after which the call may
 	 * have taken effect takes precedence over one after which it cannot
 	 */
-	public Exchange exchange(HttpCall call, long timeoutMs) {
+	public Exchange exchange(HttpCall call, TimeLimit limit) {
 		Exchange direct = new Exchange.NotSent(
 				"the store refused or did not answer this process within the last second");
 		long began = this.ticker.millis();
 		if (began >= this.retryDirectAt) {
-			direct = exchangeDirectly(call, timeoutMs);
+			direct = exchangeDirectly(call, limit);
 			if (isStoreAnswer(direct)) {
 				recordAnswer("directly");
 				return direct;
@@ -101,7 +110,7 @@
 				this.retryDirectAt = this.ticker.millis() + DIRECT_RETRY_MS;
 			}
 		}
-		Exchange relayed = exchangeThroughPeers(call, timeoutMs);
+		Exchange relayed = exchangeThroughPeers(call, limit);
 		if (isStoreAnswer(relayed)) {
 			recordAnswer("through a peer");
 			return relayed;
@@ -132,9 +141,13 @@
 	/**
 	 * Sends a call to the store without trying peers.
 	 */
-	Exchange exchangeDirectly(HttpCall call, long timeoutMs) {
+	Exchange exchangeDirectly(HttpCall call, TimeLimit limit) {
+		return recorded(() -> this.transport.exchange(this.store, call, limit));
+	}
+
+	private Exchange recorded(Supplier<Exchange> directCall) {
 		long began = this.ticker.millis();
-		Exchange exchange = this.transport.exchange(this.store, call, timeoutMs);
+		Exchange exchange = directCall.get();
 		this.metrics.recordStoreCall("direct", outcome(exchange), this.ticker.millis() - began);
 		return exchange;
 	}
@@ -157,8 +170,8 @@
 	 * Tries the direct way with a read, so that its return is noticed before a caller
 	 * needs it.
 	 */
-	void probeDirectly(HttpCall read, long timeoutMs) {
-		if (isStoreAnswer(exchangeDirectly(read, timeoutMs))) {
+	void probeDirectly(HttpCall read, TimeLimit limit) {
+		if (isStoreAnswer(exchangeDirectly(read, limit))) {
 			this.retryDirectAt = Long.MIN_VALUE;
 			recordAnswer("directly");
 		}
@@ -167,15 +180,13 @@
 	/**
 	 * Sends a read through one peer, the next one each time.
 	 */
-	void probePeer(HttpCall read, long timeoutMs) {
+	void probePeer(HttpCall read, TimeLimit limit) {
 		List<Address> known = this.peers.get();
 		if (known.isEmpty()) {
 			return;
 		}
 		Address peer = known.get(Math.floorMod(this.probes.getAndIncrement(), known.size()));
-		HttpCall relayCall = new HttpCall(read.method(), RELAY + read.path(), read.query(), read.headers(),
-				read.body());
-		Exchange exchange = this.transport.exchange(peer, relayCall, timeoutMs);
+		Exchange exchange = this.transport.exchange(peer, relayed(read, limit), limit);
 		if (isStoreAnswer(exchange)) {
 			this.lastRelayingPeer = peer;
 			recordAnswer("through a peer");
@@ -186,21 +197,34 @@
 	}
 
 	/**
-	 * Forwards a call of a peer to the store, never to another peer.
+	 * Forwards a call of a peer to the store, never to another peer. The answer is passed
+	 * on as it arrives, which shows the peer that the call goes on.
+	 * @param limit the time limit of a call that names none
 	 * @return the store's answer; 503 if the call had no effect, 504 if it may have had
 	 * one
 	 */
-	HttpReply relayForPeer(HttpCall call, long timeoutMs) {
+	HttpReply relayForPeer(HttpCall call, TimeLimit limit) {
+		long answerMs = call.header(ANSWER_LIMIT).flatMap(StoreRoute::milliseconds).getOrElse(limit.answerMs());
+		TimeLimit allowed = limit.plusWait(answerMs - limit.answerMs());
 		HttpCall inner = new HttpCall(call.method(), call.path().substring(RELAY.length()), call.query(),
 				call.headers(), call.body());
-		return switch (exchangeDirectly(inner, timeoutMs)) {
+		return switch (recorded(() -> this.transport.stream(this.store, inner, allowed))) {
 			case Exchange.Answered answered -> answered.reply();
 			case Exchange.NotSent notSent -> storeUnreachable(UNAVAILABLE, notSent.reason());
 			case Exchange.Broken broken -> storeUnreachable(TIMED_OUT, broken.reason());
 		};
 	}
 
-	private Exchange exchangeThroughPeers(HttpCall call, long timeoutMs) {
+	private static Option<Long> milliseconds(String text) {
+		return Try.of(() -> Long.parseLong(text)).toOption().filter((ms) -> ms >= 0 && ms <= MAX_ANSWER_MS);
+	}
+
+	private static HttpCall relayed(HttpCall call, TimeLimit limit) {
+		return new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(), call.body())
+			.header(ANSWER_LIMIT, Long.toString(limit.answerMs()));
+	}
+
+	private Exchange exchangeThroughPeers(HttpCall call, TimeLimit limit) {
 		List<Address> known = this.peers.get();
 		Exchange failed = new Exchange.NotSent("no peer is known");
 		if (known.isEmpty()) {
@@ -209,12 +233,11 @@
 		Address relaying = this.lastRelayingPeer;
 		int lastIndex = (relaying != null) ? known.indexOf(relaying) : -1;
 		int first = (lastIndex >= 0) ? lastIndex : ThreadLocalRandom.current().nextInt(known.size());
-		HttpCall relayCall = new HttpCall(call.method(), RELAY + call.path(), call.query(), call.headers(),
-				call.body());
+		HttpCall relayCall = relayed(call, limit);
 		long began = this.ticker.millis();
 		for (int tried = 0; tried < Math.min(MAX_PEERS_PER_CALL, known.size()); tried++) {
 			Address peer = known.get((first + tried) % known.size());
-			Exchange exchange = this.transport.exchange(peer, relayCall, timeoutMs + RELAY_OVERHEAD_MS);
+			Exchange exchange = this.transport.exchange(peer, relayCall, limit.plusOverhead(RELAY_OVERHEAD_MS));
 			this.metrics.recordStoreCall("peer", outcome(exchange), this.ticker.millis() - began);
 			if (isStoreAnswer(exchange)) {
 				this.lastRelayingPeer = peer;
@@ -222,7 +245,7 @@
 			}
 			this.lastRelayingPeer = null;
 			failed = (tried > 0) ? lessCertain(failed, exchange) : exchange;
-			if (this.ticker.millis() - began > timeoutMs) {
+			if (this.ticker.millis() - began > limit.answerMs()) {
 				break;
 			}
 		}
@@ -288,9 +311,34 @@
 
 		/**
 		 * Sends a call and waits for the answer.
-		 * @param timeoutMs how long to wait for the answer, in milliseconds
 		 */
-		Exchange exchange(Address to, HttpCall call, long timeoutMs);
+		Exchange exchange(Address to, HttpCall call, TimeLimit limit);
+
+		/**
+		 * Sends a call and waits until the answer begins; see {@link HttpClient#stream}.
+		 */
+		default Exchange stream(Address to, HttpCall call, TimeLimit limit) {
+			return exchange(to, call, limit);
+		}
+
+		/**
+		 * Returns the transport of an HTTP client.
+		 */
+		static Transport of(HttpClient client) {
+			return new Transport() {
+
+				@Override
+				public Exchange exchange(Address to, HttpCall call, TimeLimit limit) {
+					return client.exchange(to, call, limit);
+				}
+
+				@Override
+				public Exchange stream(Address to, HttpCall call, TimeLimit limit) {
+					return client.stream(to, call, limit);
+				}
+
+			};
+		}
 
 	}
 
--- a/src/main/java/org/citronrelay/internal/cluster/WorkNotifier.java
+++ b/src/main/java/org/citronrelay/internal/cluster/WorkNotifier.java
@@ -10,6 +10,7 @@
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpReply;
 import org.citronrelay.internal.http.Problem;
+import org.citronrelay.internal.http.TimeLimit;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.logging.Part;
 import org.citronrelay.internal.platform.KvEntry;
@@ -24,8 +25,8 @@
 	/** The path prefix of a notice; the key without its own prefix follows. */
 	static final String PATH = "/work/";
 
-	/** The time limit of a notice, in milliseconds; after it the watch is as fast. */
-	private static final long TIMEOUT_MS = 500;
+	/** The time limit of a notice; after it the watch is as fast. */
+	private static final TimeLimit LIMIT = TimeLimit.total(500);
 
 	private static final int OK = 200;
 
@@ -81,7 +82,7 @@
 
 	private void send(Address address, String key, byte[] value) {
 		HttpCall notice = HttpCall.of("POST", PATH + key.substring(StoreKeys.WORK.length())).body(value);
-		Exchange exchange = this.transport.exchange(address, notice, TIMEOUT_MS);
+		Exchange exchange = this.transport.exchange(address, notice, LIMIT);
 		if (!(exchange instanceof Exchange.Answered answered) || answered.reply().status() != OK) {
 			Part.PEER.logger()
 				.atDebug()
--- a/src/main/java/org/citronrelay/internal/http/HttpClient.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.vavr.control.Either;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -103,18 +104,50 @@
 	 * ms may be reused; for calls that must not be sent twice
 	 */
 	public Exchange exchange(Address address, HttpCall call, long timeoutMs, boolean freshOnly) {
-		Connection<?> connection;
+		return exchange(address, call, TimeLimit.total(timeoutMs), freshOnly);
+	}
+
+	/**
+	 * Sends a call that may be sent twice, and waits for the complete answer.
+	 * @param address the address of the server
+	 * @param call the call to send
+	 * @param limit how long to wait for the answer
+	 */
+	public Exchange exchange(Address address, HttpCall call, TimeLimit limit) {
+		return exchange(address, call, limit, false);
+	}
+
+	/**
+	 * Sends a call that may be sent twice, and returns its answer as soon as it begins. A
+	 * body that does not come at once is in {@link HttpReply#rest}, which the caller has
+	 * to close.
+	 * @param address the address of the server
+	 * @param call the call to send
+	 * @param limit how long to wait for the answer
+	 */
+	public Exchange stream(Address address, HttpCall call, TimeLimit limit) {
+		return send(address, call, limit, false).fold((notSent) -> notSent,
+				(sent) -> sent.pending().begin(limit, (exchange) -> release(address, sent.connection(), exchange)));
+	}
+
+	private Exchange exchange(Address address, HttpCall call, TimeLimit limit, boolean freshOnly) {
+		return send(address, call, limit, freshOnly).fold((notSent) -> notSent, (sent) -> {
+			Exchange exchange = sent.pending().await(limit);
+			release(address, sent.connection(), exchange);
+			return exchange;
+		});
+	}
+
+	private Either<Exchange, SentCall> send(Address address, HttpCall call, TimeLimit limit, boolean freshOnly) {
 		try {
-			connection = connection(address, freshOnly, timeoutMs);
+			Connection<?> connection = connection(address, freshOnly, limit.answerMs());
+			PendingAnswer pending = PendingAnswer.attach(connection, call.body().length);
+			connection.write(request(address, call));
+			return Either.right(new SentCall(connection, pending));
 		}
 		catch (IOException ex) {
-			return new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage());
+			return Either.left(new Exchange.NotSent("no connection to " + address + ": " + ex.getMessage()));
 		}
-		PendingAnswer pending = PendingAnswer.attach(connection);
-		connection.write(request(address, call));
-		Exchange exchange = pending.await(timeoutMs);
-		release(address, connection, exchange);
-		return exchange;
 	}
 
 	@Override
@@ -230,6 +263,9 @@
 		return !reply.header("Connection").exists("close"::equalsIgnoreCase);
 	}
 
+	private record SentCall(Connection<?> connection, PendingAnswer pending) {
+	}
+
 	private record IdleConnection(Connection<?> connection, long sinceNanos) {
 	}
 
--- a/src/main/java/org/citronrelay/internal/http/HttpEndpoint.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpEndpoint.java
@@ -162,6 +162,10 @@
 		}
 
 		private void deliver(Request request, Response response, HttpReply reply) throws IOException {
+			if (reply.rest().isDefined()) {
+				writeRest(request, response, reply, reply.rest().get());
+				return;
+			}
 			switch (reply.delivery()) {
 				case COMPLETE -> write(response, reply, reply.body().length);
 				case TRUNCATED -> {
@@ -172,6 +176,29 @@
 			}
 		}
 
+		/**
+		 * Passes on an answer whose body is still being received. If the rest does not
+		 * come, the connection is closed, so that the caller does not wait for it.
+		 */
+		private void writeRest(Request request, Response response, HttpReply reply, BodyStream rest)
+				throws IOException {
+			try (rest) {
+				response.setStatus(reply.status());
+				reply.headers().forEach((name, value) -> {
+					if (!name.equalsIgnoreCase("Transfer-Encoding")) {
+						response.setHeader(name, value);
+					}
+				});
+				response.getOutputStream().write(reply.body());
+				response.getOutputStream().flush();
+				rest.copyTo(response.getOutputStream());
+			}
+			catch (IOException ex) {
+				request.getRequest().getConnection().closeSilently();
+				throw ex;
+			}
+		}
+
 		private void write(Response response, HttpReply reply, int bytes) throws IOException {
 			response.setStatus(reply.status());
 			reply.headers().forEach(response::setHeader);
--- a/src/main/java/org/citronrelay/internal/http/HttpLimits.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpLimits.java
@@ -21,4 +21,11 @@
 		Objects.requireNonNull(idle, "idle");
 	}
 
+	/**
+	 * Returns a copy with another maximum size of the body of a call.
+	 */
+	public HttpLimits withBodyBytes(int newBodyBytes) {
+		return new HttpLimits(this.headerBytes, newBodyBytes, this.connections, this.idle);
+	}
+
 }
--- a/src/main/java/org/citronrelay/internal/http/HttpReply.java
+++ b/src/main/java/org/citronrelay/internal/http/HttpReply.java
@@ -13,11 +13,14 @@
  *
  * @param status the HTTP status
  * @param headers the headers; names are compared without regard to case
- * @param body the body, empty if there is none
+ * @param body the body, or the part of it that was received so far; empty if there is
+ * none
+ * @param rest the rest of the body, none if it is complete
  * @param delivery how much of the answer is sent; only the stand-ins of external systems
  * send less than the complete answer, to inject faults
  */
-public record HttpReply(int status, Map<String, String> headers, byte[] body, Delivery delivery) {
+public record HttpReply(int status, Map<String, String> headers, byte[] body, Option<BodyStream> rest,
+		Delivery delivery) {
 
 	private static final String CONTENT_TYPE = "Content-Type";
 
@@ -26,7 +29,7 @@
 	}
 
 	public HttpReply(int status, Map<String, String> headers, byte[] body) {
-		this(status, headers, body, Delivery.COMPLETE);
+		this(status, headers, body, Option.none(), Delivery.COMPLETE);
 	}
 
 	/**
@@ -50,14 +53,14 @@
 	public HttpReply header(String name, String value) {
 		Map<String, String> copy = new TreeMap<>(this.headers);
 		copy.put(name, value);
-		return new HttpReply(this.status, copy, this.body, this.delivery);
+		return new HttpReply(this.status, copy, this.body, this.rest, this.delivery);
 	}
 
 	/**
 	 * Returns a copy with the given delivery.
 	 */
 	public HttpReply withDelivery(Delivery newDelivery) {
-		return new HttpReply(this.status, this.headers, this.body, newDelivery);
+		return new HttpReply(this.status, this.headers, this.body, this.rest, newDelivery);
 	}
 
 	/**
--- a/src/main/java/org/citronrelay/platform/PlatformStore.java
+++ b/src/main/java/org/citronrelay/platform/PlatformStore.java
@@ -15,6 +15,7 @@
 import org.citronrelay.internal.http.Exchange;
 import org.citronrelay.internal.http.HttpCall;
 import org.citronrelay.internal.http.HttpReply;
+import org.citronrelay.internal.http.TimeLimit;
 import org.citronrelay.internal.json.Json;
 import org.citronrelay.internal.platform.KeyValueService.KvSnapshot;
 import org.citronrelay.internal.platform.KvEntry;
@@ -24,8 +25,11 @@
  */
 final class PlatformStore implements ClusterStore {
 
-	/** Time that a call may take on top of the time the store waits for a change. */
-	private static final long TIMEOUT_MS = 600;
+	/**
+	 * The time limit of a call, on top of the time that the store waits for a change.
+	 * Pages and transactions may have a MB and more, which takes seconds on a slow link.
+	 */
+	private static final TimeLimit LIMIT = TimeLimit.ofSilence(600);
 
 	private static final int OK = 200;
 
@@ -47,7 +51,7 @@
 
 	@Override
 	public Either<StoreFailure, Option<KvEntry>> read(String key) {
-		return call(readOf(key), TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+		return call(readOf(key), LIMIT).flatMap((reply) -> switch (reply.status()) {
 			case OK -> body(reply).flatMap(PlatformStore::entry).map(Option::some);
 			case NOT_FOUND -> Either.right(Option.none());
 			default -> Either.left(unexpected(reply));
@@ -61,8 +65,7 @@
 		String after = "";
 		while (true) {
 			HttpCall call = HttpCall.of("GET", "/citronrelay/kv-range").query("prefix", prefix);
-			Either<StoreFailure, JsonNode> page = bodyOfOk(after.isEmpty() ? call : call.query("after", after),
-					TIMEOUT_MS);
+			Either<StoreFailure, JsonNode> page = bodyOfOk(after.isEmpty() ? call : call.query("after", after), LIMIT);
 			if (page.isLeft()) {
 				return Either.left(page.getLeft());
 			}
@@ -87,7 +90,7 @@
 			.query("prefix", prefix)
 			.query("after", Long.toString(afterRevision))
 			.query("waitMs", Long.toString(waitMs));
-		return call(call, waitMs + TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+		return call(call, LIMIT.plusWait(waitMs)).flatMap((reply) -> switch (reply.status()) {
 			case OK -> body(reply).flatMap(PlatformStore::changes);
 			case GONE -> Either.left(new StoreFailure.HistoryGone());
 			default -> Either.left(unexpected(reply));
@@ -111,7 +114,7 @@
 		}
 		ArrayNode removes = body.putArray("remove");
 		transaction.removes().forEach(removes::add);
-		return call(post("/citronrelay/kv-txn", body), TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+		return call(post("/citronrelay/kv-txn", body), LIMIT).flatMap((reply) -> switch (reply.status()) {
 			case OK -> body(reply).map((node) -> node.path("revision").asLong());
 			case PRECONDITION_FAILED -> body(reply).flatMap(PlatformStore::conflicts);
 			case NOT_FOUND -> Either.left(new StoreFailure.LeaseGone(firstLease(transaction)));
@@ -121,7 +124,7 @@
 
 	@Override
 	public Either<StoreFailure, String> grant(long ttlMs) {
-		return bodyOfOk(post("/citronrelay/kv-lease", Json.object().put("ttlMs", ttlMs)), TIMEOUT_MS)
+		return bodyOfOk(post("/citronrelay/kv-lease", Json.object().put("ttlMs", ttlMs)), LIMIT)
 			.flatMap((node) -> node.path("lease").canConvertToLong() ? Either.right(node.path("lease").asText())
 					: Either.left(new StoreFailure.Ambiguous("the answer to a lease grant has no lease number")));
 	}
@@ -141,20 +144,20 @@
 	}
 
 	private Either<StoreFailure, Boolean> leaseExists(HttpCall call) {
-		return call(call, TIMEOUT_MS).flatMap((reply) -> switch (reply.status()) {
+		return call(call, LIMIT).flatMap((reply) -> switch (reply.status()) {
 			case OK -> Either.right(true);
 			case NOT_FOUND -> Either.right(false);
 			default -> Either.left(unexpected(reply));
 		});
 	}
 
-	private Either<StoreFailure, JsonNode> bodyOfOk(HttpCall call, long timeoutMs) {
-		return call(call, timeoutMs)
+	private Either<StoreFailure, JsonNode> bodyOfOk(HttpCall call, TimeLimit limit) {
+		return call(call, limit)
 			.flatMap((reply) -> (reply.status() == OK) ? body(reply) : Either.left(unexpected(reply)));
 	}
 
-	private Either<StoreFailure, HttpReply> call(HttpCall call, long timeoutMs) {
-		return switch (this.route.exchange(call, timeoutMs)) {
+	private Either<StoreFailure, HttpReply> call(HttpCall call, TimeLimit limit) {
+		return switch (this.route.exchange(call, limit)) {
 			case Exchange.Answered answered -> Either.right(answered.reply());
 			case Exchange.NotSent notSent -> Either.left(new StoreFailure.Unavailable(notSent.reason()));
 			case Exchange.Broken broken -> Either.left(new StoreFailure.Ambiguous(broken.reason()));
